--- /dev/null
+++ b/crates/agent/src/fetch.rs
@@ -0,0 +1,363 @@
+//! Obtaining the chunks of a version: from peers and the origin, verified, then staged.
+
+use {
+    crate::{
+        engine::Place,
+        metrics::Metrics,
+        shared::{Shared, lock},
+        store::Refusal,
+    },
+    bytes::Bytes,
+    jayspread_core::{
+        bundle::{Bundle, Piece},
+        chunk::{Duty, Peer, Plan, Source, Step},
+        id::{ChunkHash, Host, Version},
+        load::Event,
+    },
+    jayspread_net::{clock, event},
+    jayspread_schema::wire::{Fetch, Role, ask, reply},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::{Arc, Mutex, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::{sync::Semaphore, task::JoinSet, time},
+};
+
+/// Chunks fetched at once from outside the data centre.
+const OUTSIDE: usize = 2;
+/// Chunks staged at once.
+const STAGING: usize = 4;
+/// Delay before the sources of a chunk are tried again from the first.
+const ROUND_DELAY: Duration = Duration::from_millis(200);
+/// Longest time for one chunk's transfer, as a multiple of the takeover time.
+const TRANSFER_TAKEOVERS: u32 = 4;
+
+/// Why one source gave no chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Miss {
+    /// It is on its way there; ask again.
+    Pending,
+    /// Another source has to be asked.
+    Failed(&'static str),
+    /// The origin limits the rate.
+    Limited(Duration),
+}
+
+/// Fetching one version.
+pub struct Job {
+    shared: Arc<Shared>,
+    bundle: Arc<Bundle>,
+    /// Pieces by the hash of their bytes.
+    places: BTreeMap<ChunkHash, Vec<Piece>>,
+    /// Chunks that the engine holds in the version that it serves.
+    present: BTreeMap<ChunkHash, Place>,
+    plan: Mutex<BTreeMap<ChunkHash, Step>>,
+    outside: Semaphore,
+    inside: Semaphore,
+    staging: Semaphore,
+}
+
+impl Job {
+    /// Prepares fetching `bundle`, of which `present` chunks are at the engine already.
+    pub fn new(
+        shared: &Arc<Shared>,
+        bundle: Arc<Bundle>,
+        present: BTreeMap<ChunkHash, Place>,
+    ) -> Arc<Self> {
+        let mut places: BTreeMap<ChunkHash, Vec<Piece>> = BTreeMap::new();
+        for piece in bundle.pieces(shared.service()) {
+            places.entry(piece.hash).or_default().push(piece);
+        }
+        shared.staged.store(0, Ordering::Relaxed);
+        shared.wanted.store(places.len() as u32, Ordering::Relaxed);
+        let job = Arc::new(Self {
+            bundle,
+            places,
+            present,
+            plan: Mutex::default(),
+            outside: Semaphore::new(OUTSIDE),
+            inside: Semaphore::new(shared.settings.spread.downloads),
+            staging: Semaphore::new(STAGING),
+            shared: Arc::clone(shared),
+        });
+        let steps = job.replan();
+        let lengths = steps.iter().map(|step| (step.hash, step.length)).collect();
+        let led = led(&steps);
+        lock(&shared.chunks).adopt(&job.bundle.version, lengths, led, clock::now());
+        shared.arrived.notify_waiters();
+        job
+    }
+
+    /// Plans anew from the present roster and returns the steps in order.
+    pub fn replan(&self) -> Vec<Step> {
+        let place = &self.shared.settings.place;
+        let me = Peer {
+            host: place.host.clone(),
+            data_centre: place.data_centre.clone(),
+            region: place.region.clone(),
+        };
+        let pieces = self.bundle.pieces(self.shared.service());
+        let plan = Plan::new(&me, &self.peers(), &pieces, &self.bundle.origin_region);
+        let by_hash = plan.steps.iter().map(|step| (step.hash, step.clone()));
+        *lock(&self.plan) = by_hash.collect();
+        plan.steps
+    }
+
+    /// Plans anew after the roster has changed.
+    pub fn roster_changed(&self) {
+        let led = led(&self.replan());
+        lock(&self.shared.chunks).lead(led);
+    }
+
+    /// Hosts that load the same chunks.
+    fn peers(&self) -> BTreeSet<Peer> {
+        let sharing = self.bundle.sharing(self.shared.service());
+        let config = lock(&self.shared.config);
+        let members = config.members.values().filter(|member| {
+            member.role == i32::from(Role::Agent)
+                && !member.leaving
+                && sharing.contains(member.service.as_str())
+        });
+        let peers = members.map(|member| Peer {
+            host: member.host.as_str().into(),
+            data_centre: member.data_centre.as_str().into(),
+            region: member.region.as_str().into(),
+        });
+        peers.collect()
+    }
+
+    /// Fetches and stages everything; ends when the version is complete.
+    pub async fn run(self: Arc<Self>) {
+        let began = clock::now();
+        let steps: Vec<Step> = {
+            let plan = self.replan();
+            plan.into_iter().collect()
+        };
+        let mut tasks = JoinSet::new();
+        for step in steps {
+            let job = Arc::clone(&self);
+            tasks.spawn(async move { job.obtain(step).await });
+        }
+        while tasks.join_next().await.is_some() {}
+        let staged = self.shared.staged.load(Ordering::Relaxed);
+        assert_eq!(staged as usize, self.places.len(), "complete means all chunks are staged");
+        let version: Version = self.bundle.version.clone();
+        event!(
+            Info,
+            "version_complete",
+            version = version,
+            ms = (clock::now() - began).as_millis()
+        );
+        lock(&self.shared.loader).handle(&Event::Complete(version), clock::now());
+        self.shared.wake.notify_one();
+    }
+
+    /// Obtains and stages one chunk.
+    async fn obtain(&self, step: Step) {
+        if !self.copy(&step.hash).await {
+            let bytes = self.fetch(&step).await;
+            self.stage(&step.hash, bytes).await;
+        }
+        self.shared.staged.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Has the engine copy a chunk from the version that it serves.
+    async fn copy(&self, hash: &ChunkHash) -> bool {
+        let Some(from) = self.present.get(hash) else {
+            return false;
+        };
+        let Ok(_permit) = self.staging.acquire().await else {
+            return false;
+        };
+        for piece in &self.places[hash] {
+            let to = Place::new(&self.bundle.version, piece);
+            match self.shared.engine.copy(from.clone(), to).await {
+                Ok(true) => {}
+                Ok(false) | Err(_) => return false,
+            }
+        }
+        self.shared.metrics.copied.inc();
+        true
+    }
+
+    async fn stage(&self, hash: &ChunkHash, bytes: Bytes) {
+        for piece in &self.places[hash] {
+            loop {
+                let permit = self.staging.acquire().await;
+                let place = Place::new(&self.bundle.version, piece);
+                let staged = self.shared.engine.stage(place, bytes.clone()).await;
+                drop(permit);
+                let Err(cause) = staged else {
+                    break;
+                };
+                event!(Warn, "stage_failed", version = self.bundle.version, reason = cause);
+                time::sleep(ROUND_DELAY).await;
+            }
+        }
+    }
+
+    /// Fetches a chunk, trying its sources in turn until one gives it.
+    async fn fetch(&self, step: &Step) -> Bytes {
+        loop {
+            if let Some(bytes) = lock(&self.shared.chunks).get(&step.hash) {
+                return bytes;
+            }
+            let current = lock(&self.plan).get(&step.hash).cloned();
+            let current = current.unwrap_or_else(|| step.clone());
+            if let Some(bytes) = self.round(&current).await {
+                return bytes;
+            }
+            time::sleep(ROUND_DELAY).await;
+        }
+    }
+
+    /// Tries each source once, a pending one until it gives the chunk or fails.
+    async fn round(&self, step: &Step) -> Option<Bytes> {
+        for (index, source) in step.sources.iter().enumerate() {
+            if self.skips(step, source) {
+                continue;
+            }
+            loop {
+                match self.try_source(step, source, index > 0).await {
+                    Ok(bytes) => return Some(bytes),
+                    Err(Miss::Pending) if !self.skips(step, source) => {}
+                    Err(Miss::Pending) => break,
+                    Err(Miss::Limited(delay)) => {
+                        Metrics::count(&self.shared.metrics.fetch_failed, "limited");
+                        time::sleep(delay).await;
+                    }
+                    Err(Miss::Failed(reason)) => {
+                        Metrics::count(&self.shared.metrics.fetch_failed, reason);
+                        break;
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    /// Whether a source is passed over: it is shunned, or this host acts in its place.
+    fn skips(&self, step: &Step, source: &Source) -> bool {
+        let Source::Peer(host) = source else {
+            return false;
+        };
+        if self.shared.peers.shunned(host, clock::now()) {
+            return true;
+        }
+        let promoted = lock(&self.shared.chunks).promoted(&step.hash);
+        promoted && step.duty == Duty::Member && self.near(host)
+    }
+
+    fn near(&self, host: &Host) -> bool {
+        let config = lock(&self.shared.config);
+        let member = config.members.get(host);
+        member.is_some_and(|m| *m.data_centre == *self.shared.settings.place.data_centre)
+    }
+
+    async fn try_source(&self, step: &Step, source: &Source, acquire: bool) -> Result<Bytes, Miss> {
+        let inside = step.duty == Duty::Member && *source != Source::Origin;
+        let gate = if inside { &self.inside } else { &self.outside };
+        let Ok(_permit) = gate.acquire().await else {
+            return Err(Miss::Failed("stopped"));
+        };
+        if let Some(bytes) = lock(&self.shared.chunks).get(&step.hash) {
+            return Ok(bytes);
+        }
+        let bytes = match source {
+            Source::Origin => self.from_origin(step).await?,
+            Source::Peer(host) => self.from_peer(step, host, acquire).await?,
+        };
+        self.keep(step, source, bytes)
+    }
+
+    fn keep(&self, step: &Step, source: &Source, bytes: Bytes) -> Result<Bytes, Miss> {
+        let kept = lock(&self.shared.chunks).keep(step.hash, bytes.clone());
+        if kept.is_ok() {
+            self.shared.arrived.notify_waiters();
+            return Ok(bytes);
+        }
+        let name = match source {
+            Source::Origin => "origin",
+            Source::Peer(host) => {
+                self.shared.peers.strike(host, clock::now());
+                "peer"
+            }
+        };
+        Metrics::count(&self.shared.metrics.corrupt, name);
+        event!(Warn, "chunk_corrupt", source = format!("{source:?}"));
+        Err(Miss::Failed("corrupt"))
+    }
+
+    async fn from_origin(&self, step: &Step) -> Result<Bytes, Miss> {
+        let Some(store) = &self.shared.store else {
+            return Err(Miss::Failed("no_store"));
+        };
+        let limit = self.transfer_limit();
+        match store.chunk(step.hash, step.length, limit).await {
+            Ok(bytes) => {
+                self.shared.metrics.bytes_from_origin.inc_by(bytes.len() as u64);
+                Ok(bytes)
+            }
+            Err(Refusal::Limited(delay)) => Err(Miss::Limited(delay)),
+            Err(Refusal::Missing) => Err(Miss::Failed("origin_missing")),
+            Err(Refusal::Failed(cause)) => {
+                event!(Debug, "origin_failed", reason = cause);
+                Err(Miss::Failed("origin"))
+            }
+        }
+    }
+
+    fn transfer_limit(&self) -> Duration {
+        self.shared.settings.spread.takeover * TRANSFER_TAKEOVERS
+    }
+
+    async fn from_peer(&self, step: &Step, host: &Host, acquire: bool) -> Result<Bytes, Miss> {
+        let takeover = self.shared.settings.spread.takeover;
+        let address = self.address(host).ok_or(Miss::Failed("unknown_peer"))?;
+        let session = self.shared.peers.session(&self.shared, host, address, takeover).await;
+        let session = session.ok_or(Miss::Failed("unreachable"))?;
+        let fetch = Fetch {
+            version: self.bundle.version.to_string(),
+            hash: Bytes::copy_from_slice(&step.hash),
+            wait_ms: takeover.as_millis() as u32,
+            acquire,
+        };
+        let exchange = async {
+            let mut reader = session.ask(ask::Kind::Fetch(fetch)).await.ok()?;
+            let head = time::timeout(takeover * 2, reader.next()).await.ok()?.ok()?;
+            let reply::Kind::Chunk(chunk) = head else {
+                return Some(Err(head));
+            };
+            if chunk.length != step.length {
+                return None;
+            }
+            reader.bytes(chunk.length as usize).await.ok().map(Ok)
+        };
+        match time::timeout(self.transfer_limit(), exchange).await {
+            Ok(Some(Ok(bytes))) => {
+                self.shared.metrics.bytes_from_peers.inc_by(bytes.len() as u64);
+                Ok(bytes)
+            }
+            Ok(Some(Err(reply::Kind::NoChunk(none)))) if none.pending => Err(Miss::Pending),
+            Ok(Some(Err(reply::Kind::NoChunk(none)))) if none.missing => {
+                Err(Miss::Failed("missing"))
+            }
+            Ok(Some(Err(_))) => Err(Miss::Failed("busy")),
+            Ok(None) => Err(Miss::Failed("broken")),
+            Err(_) => Err(Miss::Failed("stalled")),
+        }
+    }
+
+    fn address(&self, host: &Host) -> Option<SocketAddr> {
+        let config = lock(&self.shared.config);
+        config.members.get(host)?.address.parse().ok()
+    }
+}
+
+/// Chunks that this host passes on to others.
+fn led(steps: &[Step]) -> BTreeSet<ChunkHash> {
+    let leads = steps.iter().filter(|step| step.duty != Duty::Member);
+    leads.map(|step| step.hash).collect()
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decisions of jayspread: configuration, weight distribution, routing, admission, retries,
+//! claims and membership.
+//!
+//! Nothing here opens a socket, reads a clock or starts a task: time is an argument, randomness
+//! comes from a seeded generator of the caller, and invariants are asserted in release builds.
+
+pub mod admit;
+pub mod bundle;
+pub mod chunk;
+pub mod claim;
+pub mod config;
+pub mod fair;
+pub mod id;
+pub mod load;
+pub mod member;
+pub mod ramp;
+pub mod retry;
+pub mod rollout;
+pub mod route;
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,366 @@
+//! Callers over HTTP/1.1 and HTTP/2.
+
+use {
+    crate::{
+        attempt::{Cut, Sink, Source},
+        dispatch::{self, Call},
+        problem::Problem,
+        shared::Shared,
+    },
+    axum::{
+        Router,
+        body::Body,
+        extract::{Request, State},
+        response::{IntoResponse, Response},
+        routing::get,
+    },
+    bytes::Bytes,
+    http::{HeaderMap, HeaderValue, StatusCode, Uri, header},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::{body::Frame, service::Service as _},
+    hyper_util::{
+        rt::{TokioExecutor, TokioIo, TokioTimer},
+        server::{conn::auto::Builder, graceful::GracefulShutdown},
+        service::TowerToHyperService,
+    },
+    jayspread_core::{bundle, id},
+    jayspread_net::{admin::View, clock, event},
+    std::{
+        io,
+        net::SocketAddr,
+        pin::Pin,
+        sync::{Arc, atomic::Ordering},
+        task::{Context, Poll},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::{mpsc, oneshot, watch},
+        task::JoinHandle,
+        time,
+    },
+};
+
+/// Header that names the organisation.
+pub const ORGANISATION: &str = "x-organisation";
+/// Header with the time that the caller waits, milliseconds.
+pub const DEADLINE: &str = "x-deadline-ms";
+/// Header with the caller's idempotency key.
+pub const KEY: &str = "idempotency-key";
+/// Header with the request id in the answer.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Longest deadline taken from a caller.
+const DEADLINE_MAX: Duration = Duration::from_secs(3600);
+/// Longest idempotency key, bytes.
+const KEY_MAX: usize = 256;
+/// Headers of the caller that are not passed on.
+const WITHHELD: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "te",
+    "trailer",
+    "upgrade",
+    "host",
+    "content-length",
+    DEADLINE,
+];
+/// Smallest header buffer that the HTTP library accepts, bytes.
+const HEADER_BUFFER_MIN: usize = 8192;
+/// Delay suggested to callers of an entry host that is full or starting.
+const AWAY_DELAY: Duration = Duration::from_secs(1);
+
+/// The callers' port.
+pub struct Callers {
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Callers {
+    /// Listens on `address`.
+    pub async fn open(address: SocketAddr, shared: Arc<Shared>) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let (stop, stopped) = watch::channel(false);
+        let task = tokio::spawn(accept(listener, shared, stopped));
+        Ok(Self { stop, task })
+    }
+
+    /// Stops accepting and waits until the open connections are done, at most for `limit`; true
+    /// when all were.
+    pub async fn close(self, limit: Duration) -> bool {
+        let _ = self.stop.send(true);
+        let abort = self.task.abort_handle();
+        let done = time::timeout(limit, self.task).await.is_ok();
+        abort.abort();
+        done
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: watch::Receiver<bool>) {
+    let graceful = GracefulShutdown::new();
+    let router = Router::new()
+        .route("/health", get(|| async { "ok\n" }))
+        .route("/ready", get(ready))
+        .fallback(call)
+        .with_state(Arc::clone(&shared));
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(cause) => {
+                    event!(Warn, "accept_failed", reason = cause);
+                    time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            },
+            _ = stopped.changed() => break,
+        };
+        serve(stream, router.clone(), &shared, &graceful);
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve(stream: TcpStream, router: Router, shared: &Shared, graceful: &GracefulShutdown) {
+    let limits = shared.settings.limits;
+    let _ = stream.set_nodelay(true);
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.slow_caller)
+        .max_buf_size(limits.header_bytes.max(HEADER_BUFFER_MIN));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.header_bytes as u32);
+    let service = TowerToHyperService::new(router);
+    let service = hyper::service::service_fn(move |request| service.call(request));
+    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(cause) = connection.await {
+            event!(Debug, "caller_connection_failed", reason = cause);
+        }
+    });
+}
+
+async fn ready(State(shared): State<Arc<Shared>>) -> Response {
+    match shared.ready() {
+        Ok(()) => (StatusCode::OK, "ready\n").into_response(),
+        Err(reason) => (StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")).into_response(),
+    }
+}
+
+/// Counts a call while it lives.
+struct Counted(Arc<Shared>);
+
+impl Counted {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.calls.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.calls.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+async fn call(State(shared): State<Arc<Shared>>, request: Request) -> Response {
+    let began = clock::now();
+    shared.metrics.requests.inc();
+    let counted = Counted::new(&shared);
+    let id = format!("{:032x}", rand::random::<u128>());
+    let call = match read(&shared, request, &id, began).await {
+        Ok(call) => call,
+        Err(problem) => {
+            dispatch::count(&shared, &problem);
+            return answer_id(problem.respond(Some(&id)), &id);
+        }
+    };
+    let (mut sink, source) = Sink::new(began);
+    let (refuse, refused) = oneshot::channel();
+    tokio::spawn(async move {
+        let served = dispatch::serve(&shared, &call, &mut sink).await;
+        if let Some(first_byte) = sink.first_byte {
+            shared.metrics.first_byte.observe(first_byte.as_secs_f64());
+        }
+        match served {
+            Ok(()) => {
+                shared.metrics.whole.inc();
+            }
+            Err(problem) => {
+                dispatch::count(&shared, &problem);
+                event!(
+                    Info,
+                    "refused",
+                    request = call.id,
+                    kind = problem.kind,
+                    detail = problem.detail
+                );
+                let _ = refuse.send(problem);
+            }
+        }
+        drop(counted);
+    });
+    answer_id(answer(source, refused, &id).await, &id)
+}
+
+fn answer_id(mut response: Response, id: &str) -> Response {
+    if let Ok(value) = HeaderValue::from_str(id) {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+    response
+}
+
+/// Waits for the head of an answer or for a refusal.
+async fn answer(source: Source, refused: oneshot::Receiver<Problem>, id: &str) -> Response {
+    match source.head.await {
+        Ok(begun) => {
+            let mut response = Response::new(Body::new(Stream(source.body)));
+            *response.status_mut() = begun.status;
+            *response.headers_mut() = begun.headers;
+            response
+        }
+        Err(_) => match refused.await {
+            Ok(problem) => problem.respond(Some(id)),
+            Err(_) => Problem::unknown("lost", "the request's task ended").respond(Some(id)),
+        },
+    }
+}
+
+/// Body of an answer; a cut makes the connection end without the body's terminal marker.
+struct Stream(mpsc::Receiver<Result<Bytes, Cut>>);
+
+impl hyper::body::Body for Stream {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        self.0.poll_recv(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
+    }
+}
+
+/// Reads and checks a caller's request.
+async fn read(
+    shared: &Shared,
+    request: Request,
+    id: &str,
+    began: Instant,
+) -> Result<Call, Problem> {
+    let limits = shared.settings.limits;
+    if shared.calls.load(Ordering::Relaxed) > limits.in_flight {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let problem = Problem::not_run(status, "busy", "too many requests are in flight");
+        return Err(problem.after(AWAY_DELAY));
+    }
+    let (head, body) = request.into_parts();
+    let (service, path) = route(&head.uri)?;
+    let organisation = text(&head.headers, ORGANISATION, bundle::NAME_MAX)?;
+    let organisation: Box<str> = organisation.unwrap_or("unnamed").into();
+    let deadline = began + deadline(&head.headers, limits.default_deadline)?;
+    let key = text(&head.headers, KEY, KEY_MAX)?;
+    let state = shared.state();
+    let Some(bundle) = &state.bundle else {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let problem = Problem::not_run(status, "starting", "no configuration is known yet");
+        return Err(problem.after(AWAY_DELAY));
+    };
+    let Some(declared) = bundle.services.get(service) else {
+        let detail = format!("no service '{service}'");
+        return Err(Problem::not_run(StatusCode::NOT_FOUND, "no-service", detail));
+    };
+    let repeatable = declared.repeatable(&path);
+    let key = key.filter(|_| !repeatable);
+    let key = key.map(|key| id::key(&organisation, service, key));
+    let service = service.into();
+    let body = collect(body, limits.body_bytes, limits.slow_caller).await?;
+    Ok(Call {
+        id: id.into(),
+        organisation,
+        service,
+        method: head.method,
+        path,
+        headers: passed_on(&head.headers),
+        body,
+        deadline,
+        repeatable,
+        key,
+    })
+}
+
+/// Splits `/v1/{service}/{path}`.
+fn route(uri: &Uri) -> Result<(&str, Box<str>), Problem> {
+    let unknown = || {
+        let detail = "paths have the form /v1/{service}/{path}";
+        Problem::not_run(StatusCode::NOT_FOUND, "no-route", detail)
+    };
+    let rest = uri.path().strip_prefix("/v1/").ok_or_else(unknown)?;
+    let (service, _) = rest.split_once('/').ok_or_else(unknown)?;
+    let whole = uri.path_and_query().map_or(uri.path(), |p| p.as_str());
+    let start = "/v1/".len() + service.len();
+    Ok((service, whole[start..].into()))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str, max: usize) -> Result<Option<&'a str>, Problem> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let bad = |reason: &str| {
+        let detail = format!("header {name}: {reason}");
+        Problem::not_run(StatusCode::BAD_REQUEST, "bad-header", detail)
+    };
+    let value = value.to_str().map_err(|_| bad("is not printable ASCII"))?;
+    if value.is_empty() || value.len() > max {
+        return Err(bad(&format!("must have 1 to {max} characters")));
+    }
+    Ok(Some(value))
+}
+
+fn deadline(headers: &HeaderMap, default: Duration) -> Result<Duration, Problem> {
+    let Some(value) = text(headers, DEADLINE, 16)? else {
+        return Ok(default);
+    };
+    let bad = || {
+        let detail = format!("header {DEADLINE}: must be a number of milliseconds, at least 1");
+        Problem::not_run(StatusCode::BAD_REQUEST, "bad-header", detail)
+    };
+    let ms: u64 = value.parse().map_err(|_| bad())?;
+    if ms == 0 {
+        return Err(bad());
+    }
+    Ok(Duration::from_millis(ms).min(DEADLINE_MAX))
+}
+
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = headers.clone();
+    for name in WITHHELD {
+        passed.remove(name);
+    }
+    passed.remove(header::EXPECT);
+    passed
+}
+
+async fn collect(body: Body, max: usize, limit: Duration) -> Result<Bytes, Problem> {
+    let collected = time::timeout(limit, Limited::new(body, max).collect()).await;
+    match collected {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(cause)) if cause.is::<LengthLimitError>() => {
+            let detail = format!("the body is larger than {max} bytes");
+            Err(Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, "too-large", detail))
+        }
+        Ok(Err(_)) => {
+            let detail = "the body broke off";
+            Err(Problem::not_run(StatusCode::BAD_REQUEST, "bad-body", detail))
+        }
+        Err(_) => {
+            let detail = "the body came too slowly";
+            Err(Problem::not_run(StatusCode::REQUEST_TIMEOUT, "slow-caller", detail))
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dump.rs
@@ -0,0 +1,116 @@
+//! State dump and readiness of an entry host.
+
+use {
+    crate::{
+        shared::{Shared, lock},
+        slots::Backend,
+    },
+    jayspread_core::{config::State, id::Host},
+    jayspread_net::{admin::View, clock},
+    jayspread_schema::wire::Phase,
+    serde_json::{Value, json},
+    std::{
+        sync::atomic::Ordering,
+        time::Duration,
+    },
+};
+
+/// Time after which an entry host takes requests although the log's end was not reached.
+const STARTING_MAX: Duration = Duration::from_secs(30);
+
+impl View for Shared {
+    fn ready(&self) -> Result<(), Box<str>> {
+        if self.leaving.load(Ordering::Relaxed) {
+            return Err("leaving".into());
+        }
+        let state = self.state();
+        let late = clock::now() > self.started + STARTING_MAX;
+        if state.bundle.is_none() || !(self.caught_up.load(Ordering::Relaxed) || late) {
+            return Err("starting".into());
+        }
+        if !state.open(&self.settings.place.data_centre) {
+            return Err("data centre is out".into());
+        }
+        Ok(())
+    }
+
+    fn dump(&self) -> Value {
+        let place = &self.settings.place;
+        let state = self.state();
+        let backends = self.slots.backends();
+        let shown = backends.iter().map(|(host, b)| (host.to_string(), self.backend(host, b)));
+        let journal = {
+            let journal = lock(&self.journal);
+            json!({
+                "next_offset": journal.next,
+                "checkpoint": journal.checkpoint,
+                "claims": journal.ledger.len(),
+            })
+        };
+        let links = lock(&self.links).len();
+        let members: serde_json::Map<String, Value> = {
+            let roster = lock(&self.roster);
+            let health = roster.health.iter();
+            health.map(|(host, h)| (host.to_string(), json!(format!("{h:?}")))).collect()
+        };
+        json!({
+            "host": place.host,
+            "data_centre": place.data_centre,
+            "region": place.region,
+            "role": "entry",
+            "ready": self.ready().err().unwrap_or("yes".into()),
+            "incarnation": self.node.identity.incarnation.to_string(),
+            "revision": state.revision,
+            "version": version(&state),
+            "fence": state.fence,
+            "out": state.out,
+            "log": {
+                "up": self.log_up.load(Ordering::Relaxed),
+                "journal": journal,
+                "claims_waiting": !self.claims.idle(),
+            },
+            "calls": self.calls.load(Ordering::Relaxed),
+            "in_flight": self.slots.total(),
+            "queued": self.slots.queued(),
+            "pauses": self.slots.pauses(),
+            "links": links,
+            "health": members,
+            "backend_servers": shown.collect::<serde_json::Map<_, _>>(),
+        })
+    }
+
+    fn refresh(&self) {
+        self.metrics.in_flight.set(self.slots.total().into());
+        self.metrics.queue.set(self.slots.queued() as i64);
+        let up = self.log_up.load(Ordering::Relaxed);
+        self.metrics.log_up.set(up.into());
+    }
+}
+
+impl Shared {
+    fn backend(&self, host: &Host, backend: &Backend) -> Value {
+        let load = &backend.load;
+        let phase: Phase = load.phase();
+        json!({
+            "data_centre": backend.data_centre,
+            "service": load.service,
+            "alive": backend.alive,
+            "listed_leaving": backend.listed_leaving,
+            "phase": phase.as_str_name(),
+            "serving": load.serving,
+            "wanted": load.wanted,
+            "pause": load.pause,
+            "running": load.running,
+            "waiting": load.waiting,
+            "limit": load.limit,
+            "first_byte_us": load.first_byte_us,
+            "in_flight": self.slots.in_flight(host),
+            "chunks": load.chunks,
+            "chunks_wanted": load.chunks_wanted,
+        })
+    }
+}
+
+fn version(state: &State) -> Option<&str> {
+    state.bundle.as_ref().map(|b| &*b.version)
+}
--- /dev/null
+++ b/crates/entry/src/handler.rs
@@ -0,0 +1,158 @@
+//! Heartbeats and asks of agents and other entry hosts.
+
+use {
+    crate::{
+        metrics::Metrics,
+        shared::{Shared, lock},
+    },
+    jayspread_core::member::Change,
+    jayspread_net::{
+        clock, event, link,
+        session::{Session, Writer},
+    },
+    jayspread_schema::wire::{Beat, Hello, Pull, Role, Update, ask, reply},
+    quinn::RecvStream,
+    std::sync::{Arc, atomic::Ordering},
+};
+
+/// Answers the peers of an entry host.
+pub struct Handler {
+    shared: Arc<Shared>,
+}
+
+impl Handler {
+    /// Creates the handler.
+    pub fn new(shared: &Arc<Shared>) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+        }
+    }
+
+    /// Pulls configuration from a peer that is ahead, one pull at a time.
+    fn pull(&self, session: &Session) {
+        if self.shared.pulling.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let shared = Arc::clone(&self.shared);
+        let session = session.clone();
+        tokio::spawn(async move {
+            let revision = lock(&shared.journal).fold.revision();
+            let pull = Pull {
+                revision,
+                roster: 0,
+            };
+            let limit = shared.settings.timing.call;
+            match session.call(ask::Kind::Pull(pull), limit).await {
+                Ok(reply::Kind::Update(update)) => shared.update(&update),
+                Ok(_) => Metrics::count(&shared.metrics.nonsense, "update"),
+                Err(cause) => event!(Debug, "pull_failed", reason = cause),
+            }
+            shared.pulling.store(false, Ordering::Release);
+        });
+    }
+
+    /// Configuration and roster that a peer lacks.
+    fn update(&self, pull: &Pull) -> Update {
+        let mut update = Update::default();
+        {
+            let journal = lock(&self.shared.journal);
+            match journal.fold.since(pull.revision) {
+                Some(changes) => update.changes = changes,
+                None => update.checkpoint = Some(journal.fold.checkpoint()),
+            }
+        }
+        let roster = lock(&self.shared.roster);
+        update.roster = roster.number;
+        if roster.number != pull.roster {
+            update.members = roster.agents();
+        }
+        update
+    }
+
+    fn report(&self, session: &Session, beat: &Beat) {
+        let peer = &session.peer;
+        let Some(load) = &beat.load else {
+            Metrics::count(&self.shared.metrics.nonsense, "heartbeat_without_load");
+            return;
+        };
+        let slots = &self.shared.slots;
+        slots.report(&peer.host, &peer.data_centre, peer.incarnation, load.clone());
+        if beat.leaving {
+            slots.set_alive(&peer.host, false);
+        }
+    }
+}
+
+impl link::Handler for Handler {
+    fn beat(&self, peer: &Hello) -> Beat {
+        let shared = &self.shared;
+        let revision = lock(&shared.journal).fold.revision();
+        let roster = lock(&shared.roster).number;
+        let mut beat = Beat {
+            revision,
+            leaving: shared.leaving.load(Ordering::Relaxed),
+            log_up: shared.log_up.load(Ordering::Relaxed),
+            ..Beat::default()
+        };
+        if peer.role == i32::from(Role::Agent) {
+            beat.roster = roster;
+            if shared.slots.may_load(&peer.host) {
+                let state = shared.state();
+                let version = state.bundle.as_ref().map(|b| b.version.to_string());
+                beat.may_load = version.unwrap_or_default();
+            }
+        }
+        beat
+    }
+
+    fn heard(&self, session: &Session, beat: &Beat) {
+        let peer = &session.peer;
+        let shared = &self.shared;
+        let change = {
+            let mut roster = lock(&shared.roster);
+            let health = &mut roster.health;
+            health.beat(&peer.host, peer.incarnation, beat.sequence, beat.leaving, clock::now())
+        };
+        if change != Change::None {
+            event!(Info, "host_heard", host = peer.host, change = format!("{change:?}"));
+            lock(&shared.roster).renumber();
+        }
+        if peer.role == i32::from(Role::Agent) {
+            self.report(session, beat);
+        }
+        if beat.revision > lock(&shared.journal).fold.revision() {
+            self.pull(session);
+        }
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        session: Session,
+        ask: ask::Kind,
+        mut writer: Writer,
+        rest: RecvStream,
+    ) {
+        match ask {
+            ask::Kind::Pull(pull) => {
+                let update = self.update(&pull);
+                let _ = writer.write(reply::Kind::Update(update)).await;
+                writer.close();
+            }
+            _ => {
+                event!(Warn, "ask_refused", peer = session.peer.host);
+                Metrics::count(&self.shared.metrics.nonsense, "ask");
+            }
+        }
+        drop(rest);
+    }
+
+    fn changed(&self, session: &Session, open: bool) {
+        if !open && session.peer.role == i32::from(Role::Agent) {
+            self.shared.slots.set_alive(&session.peer.host, false);
+        }
+    }
+
+    fn nonsense(&self, _peer: &str, what: &str) {
+        Metrics::count(&self.shared.metrics.nonsense, what);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/journal.rs
@@ -0,0 +1,103 @@
+//! Fold of the log's records: configuration and claims.
+
+use {
+    crate::log::{Entry, Offset},
+    jayspread_core::{
+        claim::Ledger,
+        config::{Effect, Fold, Refused},
+        id::Revision,
+    },
+    jayspread_schema::config::{Checkpoint, Record, Signed, record},
+    prost::Message,
+};
+
+/// What one record did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// A change was accepted.
+    Accepted(Revision, Effect),
+    /// A change was refused.
+    Refused(Refused),
+    /// A checkpoint was read; whether it moved the fold.
+    Checkpoint(bool),
+    /// Claims, outcomes or voids were read.
+    Batch,
+    /// The record makes no sense.
+    Nonsense(Box<str>),
+    /// A change from before the first checkpoint of a truncated log.
+    Unplaced,
+}
+
+/// Configuration and claims as the log tells them.
+#[derive(Debug, Clone)]
+pub struct Journal {
+    /// Configuration.
+    pub fold: Fold,
+    /// Claims on idempotency keys.
+    pub ledger: Ledger,
+    /// Position of the next record to read.
+    pub next: Offset,
+    /// Whether every change before `next` is known, so that changes can be judged.
+    placed: bool,
+    /// Revision of the last checkpoint read.
+    pub checkpoint: Revision,
+}
+
+impl Journal {
+    /// Creates an empty journal that accepts changes of these operators' keys.
+    pub fn new(operators: impl IntoIterator<Item = [u8; 32]>) -> Self {
+        Self {
+            fold: Fold::new(operators),
+            ledger: Ledger::default(),
+            next: 0,
+            placed: true,
+            checkpoint: 0,
+        }
+    }
+
+    /// Skips to the first record kept; changes count only from the next checkpoint on.
+    pub fn truncated(&mut self, first: Offset) {
+        self.next = first;
+        self.placed = false;
+    }
+
+    /// Applies the next record.
+    pub fn apply(&mut self, entry: &Entry) -> Outcome {
+        assert!(entry.offset >= self.next, "records come in log order");
+        self.next = entry.offset + 1;
+        let record = match Record::decode(&entry.bytes[..]) {
+            Ok(record) => record,
+            Err(cause) => return Outcome::Nonsense(cause.to_string().into()),
+        };
+        match record.kind {
+            Some(record::Kind::Signed(signed)) => self.change(&signed),
+            Some(record::Kind::Checkpoint(checkpoint)) => self.restore(&checkpoint),
+            Some(record::Kind::Batch(batch)) => match self.ledger.apply(&batch) {
+                Ok(()) => Outcome::Batch,
+                Err(cause) => Outcome::Nonsense(cause.to_string().into()),
+            },
+            None => Outcome::Nonsense("record of an unknown kind".into()),
+        }
+    }
+
+    fn change(&mut self, signed: &Signed) -> Outcome {
+        if !self.placed {
+            return Outcome::Unplaced;
+        }
+        match self.fold.apply(signed) {
+            Ok((revision, effect)) => Outcome::Accepted(revision, effect),
+            Err(reason) => Outcome::Refused(reason),
+        }
+    }
+
+    fn restore(&mut self, checkpoint: &Checkpoint) -> Outcome {
+        match self.fold.apply_checkpoint(checkpoint) {
+            Ok(moved) => {
+                self.checkpoint = self.checkpoint.max(checkpoint.revision);
+                self.placed = true;
+                Outcome::Checkpoint(moved)
+            }
+            Err(reason) => Outcome::Refused(reason),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,2 @@
+//! Binary of the entry host.
+fn main(){}
--- /dev/null
+++ b/crates/entry/src/once.rs
@@ -0,0 +1,225 @@
+//! Claims on idempotency keys, committed to the log in groups.
+
+use {
+    crate::{
+        metrics::Metrics,
+        shared::{Shared, lock},
+    },
+    bytes::Bytes,
+    jayspread_core::{
+        claim::{BODY_MAX, Standing},
+        id::{Host, Incarnation, Key},
+    },
+    jayspread_net::{clock, event},
+    jayspread_schema::config::{Batch, Claim, Outcome, Record, Void, record},
+    prost::Message,
+    std::{
+        sync::{Arc, Mutex, atomic::Ordering},
+        time::{Duration, Instant},
+    },
+    tokio::{sync::Notify, time},
+};
+
+/// Time for which a group collects before it is appended.
+const LINGER: Duration = Duration::from_millis(2);
+/// Records of a group at most.
+const GROUP_MAX: usize = 512;
+/// Delay before a group whose append failed is appended again.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// Claims, outcomes and voids that wait to be appended.
+#[derive(Default)]
+pub struct Claims {
+    waiting: Mutex<Batch>,
+    filled: Notify,
+}
+
+/// Result of claiming a key.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Claimed {
+    /// The request holds the key and may run.
+    Won,
+    /// Another request holds it.
+    Held(Claim),
+    /// The work has an outcome.
+    Done(Outcome),
+    /// The log could not be asked in time; nothing ran.
+    Unreachable,
+    /// This host's clock is too far from the others'.
+    Skewed,
+}
+
+/// An answer as far as it is worth recording.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: String,
+    /// Body, when small enough.
+    pub body: Option<Bytes>,
+}
+
+impl Claims {
+    fn add(&self, fill: impl FnOnce(&mut Batch)) {
+        fill(&mut lock(&self.waiting));
+        self.filled.notify_one();
+    }
+
+    fn take(&self) -> Batch {
+        let mut waiting = lock(&self.waiting);
+        let mut rest = Batch::default();
+        if waiting.claims.len() > GROUP_MAX {
+            rest.claims = waiting.claims.split_off(GROUP_MAX);
+        }
+        let mut batch = std::mem::replace(&mut *waiting, rest);
+        batch.id = Bytes::copy_from_slice(&rand::random::<[u8; 16]>());
+        batch
+    }
+
+    fn is_empty(&self) -> bool {
+        let waiting = lock(&self.waiting);
+        waiting.claims.is_empty() && waiting.outcomes.is_empty() && waiting.voids.is_empty()
+    }
+
+    /// Whether nothing waits to be appended.
+    pub fn idle(&self) -> bool {
+        self.is_empty()
+    }
+}
+
+/// Appends groups until aborted.
+pub async fn run(shared: Arc<Shared>) {
+    loop {
+        while shared.claims.is_empty() {
+            shared.claims.filled.notified().await;
+        }
+        time::sleep(LINGER).await;
+        let batch = shared.claims.take();
+        append(&shared, batch).await;
+    }
+}
+
+/// Appends a group until it is in the log; a repeat changes nothing, since the first claim wins.
+async fn append(shared: &Shared, batch: Batch) {
+    let record = Record {
+        kind: Some(record::Kind::Batch(batch)),
+    };
+    let bytes = Bytes::from(record.encode_to_vec());
+    loop {
+        match shared.log.append(bytes.clone()).await {
+            Ok(_) => {
+                Metrics::count(&shared.metrics.appends, "claims");
+                return;
+            }
+            Err(cause) => {
+                Metrics::count(&shared.metrics.appends, "failed");
+                event!(Debug, "append_failed", reason = cause);
+                time::sleep(AGAIN).await;
+            }
+        }
+    }
+}
+
+/// Claims `key` for `request`, which is to run at `agent`, and waits for the log's word.
+pub async fn claim(
+    shared: &Shared,
+    key: &Key,
+    request: &str,
+    agent: (&Host, Incarnation),
+    deadline: Instant,
+) -> Claimed {
+    let now_ms = clock::unix_ms();
+    if let Some(known) = judge(shared, key, request) {
+        return counted(shared, known);
+    }
+    if !shared.log_up.load(Ordering::Relaxed) {
+        return counted(shared, Claimed::Unreachable);
+    }
+    if !lock(&shared.journal).ledger.plausible(now_ms) {
+        return counted(shared, Claimed::Skewed);
+    }
+    let claim = Claim {
+        key: Bytes::copy_from_slice(key),
+        request: request.to_owned(),
+        agent: agent.0.to_string(),
+        incarnation: agent.1,
+        claimed_at_ms: now_ms,
+    };
+    let mut moved = shared.moved.subscribe();
+    shared.claims.add(|batch| batch.claims.push(claim));
+    let due = time::Instant::from_std(deadline);
+    loop {
+        moved.borrow_and_update();
+        if let Some(known) = judge(shared, key, request) {
+            return counted(shared, known);
+        }
+        let lost = !shared.log_up.load(Ordering::Relaxed);
+        if lost || time::timeout_at(due, moved.changed()).await.is_err() {
+            void(shared, key, request);
+            return counted(shared, Claimed::Unreachable);
+        }
+    }
+}
+
+/// What the log says of the key, or nothing while it is free.
+fn judge(shared: &Shared, key: &Key, request: &str) -> Option<Claimed> {
+    match lock(&shared.journal).ledger.standing(key) {
+        Standing::Free => None,
+        Standing::Claimed(claim) if claim.request == request => Some(Claimed::Won),
+        Standing::Claimed(claim) => Some(Claimed::Held(claim)),
+        Standing::Done(outcome) => Some(Claimed::Done(outcome)),
+    }
+}
+
+fn counted(shared: &Shared, claimed: Claimed) -> Claimed {
+    let name = match &claimed {
+        Claimed::Won => "won",
+        Claimed::Held(_) => "held",
+        Claimed::Done(_) => "done",
+        Claimed::Unreachable => "unreachable",
+        Claimed::Skewed => "skewed",
+    };
+    Metrics::count(&shared.metrics.claims, name);
+    claimed
+}
+
+/// Frees a key whose work provably never started and never will.
+pub fn void(shared: &Shared, key: &Key, request: &str) {
+    let void = Void {
+        key: Bytes::copy_from_slice(key),
+        request: request.to_owned(),
+    };
+    shared.claims.add(|batch| batch.voids.push(void));
+}
+
+/// Records the outcome of claimed work and waits at most `limit` until the log shows it.
+pub async fn record(
+    shared: &Shared,
+    key: &Key,
+    request: &str,
+    summary: &Summary,
+    limit: Duration,
+) -> bool {
+    let body = summary.body.clone().filter(|body| body.len() <= BODY_MAX);
+    let outcome = Outcome {
+        key: Bytes::copy_from_slice(key),
+        request: request.to_owned(),
+        status: summary.status.into(),
+        content_type: summary.content_type.clone(),
+        whole: body.is_some(),
+        body: body.unwrap_or_default(),
+    };
+    let mut moved = shared.moved.subscribe();
+    shared.claims.add(|batch| batch.outcomes.push(outcome));
+    let due = time::Instant::now() + limit;
+    loop {
+        moved.borrow_and_update();
+        if matches!(judge(shared, key, request), Some(Claimed::Done(_))) {
+            return true;
+        }
+        if time::timeout_at(due, moved.changed()).await.is_err() {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,152 @@
+//! Starting and stopping an entry host.
+
+use {
+    crate::{
+        callers::Callers,
+        handler::Handler,
+        hosts::{self, Hosts},
+        log::{self, Log},
+        once, roster,
+        shared::{Shared, lock},
+        tail,
+    },
+    jayspread_core::route::Policy,
+    jayspread_net::{
+        admin::Admin,
+        cert::Tls,
+        clock, event, link,
+        node::{self, Identity, Node},
+    },
+    jayspread_schema::{settings::Entry as Settings, wire::Role},
+    quinn::Runtime,
+    std::{
+        fmt, io,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::{task::JoinHandle, time},
+};
+
+/// Time between reporting not ready and closing the callers' port, for the balancer to notice.
+const BALANCER_NOTICE: Duration = Duration::from_secs(1);
+/// Interval of looking whether everything has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Error of starting an entry host.
+#[derive(Debug)]
+pub enum Error {
+    /// The peer address could not be bound.
+    Node(node::Error),
+    /// The administration address could not be bound.
+    Admin(io::Error),
+    /// The callers' address could not be bound.
+    Callers(io::Error),
+    /// The settings name no callers' address.
+    NoCallers,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Node(cause) => write!(f, "could not bind listen.peer: {cause}"),
+            Error::Admin(cause) => write!(f, "could not bind listen.admin: {cause}"),
+            Error::Callers(cause) => write!(f, "could not bind listen.http: {cause}"),
+            Error::NoCallers => write!(f, "listen.http is required"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A running entry host.
+pub struct Process {
+    shared: Arc<Shared>,
+    admin: Admin,
+    callers: Callers,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Process {
+    /// Starts an entry host whose sockets come from `runtime`.
+    pub async fn open(
+        settings: Settings,
+        tls: &Tls,
+        runtime: Arc<dyn Runtime>,
+        policy: Policy,
+    ) -> Result<Self, Error> {
+        let timing = settings.timing;
+        let listen = settings.listen.clone();
+        let http = listen.http.ok_or(Error::NoCallers)?;
+        let identity = Identity::new(settings.place.clone(), Role::Entry);
+        let node = Node::bind(listen.peer, identity, tls, timing, runtime).map_err(Error::Node)?;
+        let log: Arc<dyn Log> = Arc::new(log::Http::new(settings.log, timing.call));
+        let hosts: Arc<dyn Hosts> = Arc::new(hosts::Http::new(settings.hosts, timing.call));
+        let shared = Shared::new(settings, node.clone(), log, hosts, policy);
+        let registry = shared.metrics.registry();
+        let admin = Admin::open(listen.admin, Arc::clone(&shared), registry)
+            .await
+            .map_err(Error::Admin)?;
+        let callers = Callers::open(http, Arc::clone(&shared))
+            .await
+            .map_err(Error::Callers)?;
+        let handler = Arc::new(Handler::new(&shared));
+        let tasks = vec![
+            tokio::spawn(link::accept(node, handler)),
+            tokio::spawn(tail::run(Arc::clone(&shared))),
+            tokio::spawn(tail::checkpoints(Arc::clone(&shared))),
+            tokio::spawn(once::run(Arc::clone(&shared))),
+            tokio::spawn(roster::run(Arc::clone(&shared))),
+        ];
+        event!(Info, "started", host = shared.settings.place.host, role = "entry");
+        Ok(Self {
+            shared,
+            admin,
+            callers,
+            tasks,
+        })
+    }
+
+    /// State of the entry host.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Stops in order: reports not ready, takes requests until the balancer has noticed, lets those
+    /// in flight end, then closes. Returns the number of requests that were cut off by the drain limit.
+    pub async fn close(self) -> usize {
+        let shared = Arc::clone(&self.shared);
+        let due = clock::now() + shared.settings.timing.drain;
+        shared.leaving.store(true, Ordering::Relaxed);
+        event!(Info, "stopping", calls = shared.calls.load(Ordering::Relaxed));
+        time::sleep(BALANCER_NOTICE.min(shared.settings.timing.drain)).await;
+        self.callers.close(due.saturating_duration_since(clock::now())).await;
+        while clock::now() < due && !idle(&shared) {
+            time::sleep(DRAIN_POLL).await;
+        }
+        let cut = shared.calls.load(Ordering::Relaxed);
+        end(&shared, self.admin, self.tasks, cut).await;
+        cut
+    }
+
+    /// Ends at once and returns the number of requests that were cut off.
+    pub async fn abort(self) -> usize {
+        let cut = self.shared.calls.load(Ordering::Relaxed);
+        self.callers.close(Duration::ZERO).await;
+        end(&self.shared, self.admin, self.tasks, cut).await;
+        cut
+    }
+}
+
+fn idle(shared: &Shared) -> bool {
+    shared.calls.load(Ordering::Relaxed) == 0 && shared.claims.idle()
+}
+
+async fn end(shared: &Shared, admin: Admin, tasks: Vec<JoinHandle<()>>, cut: usize) {
+    admin.close();
+    for task in tasks {
+        task.abort();
+    }
+    lock(&shared.links).clear();
+    shared.node.clone().close().await;
+    event!(Info, "stopped", cut_off = cut);
+}
--- /dev/null
+++ b/crates/fakes/src/cluster.rs
@@ -0,0 +1,436 @@
+//! A deployment on loopback in one process: platform, backend servers, agents and entry hosts.
+
+use {
+    crate::{
+        bundle,
+        engine::{Behaviour, Engine, Manifests},
+        hosts::Hosts,
+        log::Log,
+        server::{self, Server},
+        shape::{Network, Shaped},
+        store::Store,
+    },
+    ed25519_dalek::SigningKey,
+    eyre::{Result, WrapErr},
+    jayspread_agent::Process as Agent,
+    jayspread_core::route::Policy,
+    jayspread_entry::{Process as Entry, hosts::Line},
+    jayspread_net::cert::{self, Authority, Tls},
+    jayspread_schema::{
+        config::{Bundle as Raw, change::Kind as Change},
+        settings::{
+            self, Backend, Kind, Limits, Listen, MIB, Operator, Place, Spread, Timing,
+        },
+    },
+    quinn::{Runtime, TokioRuntime},
+    std::{
+        collections::BTreeMap,
+        net::{SocketAddr, TcpListener, UdpSocket},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// Interval of looking whether something awaited has come.
+const POLL: Duration = Duration::from_millis(10);
+
+/// One agent and its backend server.
+pub struct Host {
+    /// Settings of the agent.
+    pub settings: settings::Agent,
+    /// The backend server.
+    pub engine: Engine,
+    server: Server,
+    /// The agent, unless it was killed.
+    pub agent: Option<Agent>,
+}
+
+/// How a deployment is built.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Data centres and their regions; the origin is in the first.
+    pub data_centres: Vec<(Box<str>, Box<str>)>,
+    /// Entry hosts in each data centre.
+    pub entries: usize,
+    /// Timing of all processes.
+    pub timing: Timing,
+    /// Limits of the entry hosts.
+    pub limits: Limits,
+    /// Weight distribution of the agents.
+    pub spread: Spread,
+    /// Link rate between regions, bytes a second; none leaves the links alone.
+    pub thin: Option<f64>,
+    /// Uplink of the origin, bytes a second.
+    pub origin: f64,
+    /// How entry hosts choose.
+    pub policy: Policy,
+    /// Seed of the stand-ins' faults.
+    pub seed: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        let region = |dc: &str, region: &str| (dc.into(), region.into());
+        Self {
+            data_centres: vec![
+                region("khomas-a", "khomas"),
+                region("erongo-a", "erongo"),
+                region("karas-a", "karas"),
+            ],
+            entries: 1,
+            timing: Timing {
+                heartbeat: Duration::from_millis(100),
+                silent: Duration::from_millis(1000),
+                drain: Duration::from_secs(10),
+                call: Duration::from_millis(1000),
+            },
+            limits: Limits {
+                body_bytes: 4 * MIB as usize,
+                header_bytes: 16 * 1024,
+                queue: 1024,
+                in_flight: 4096,
+                default_deadline: Duration::from_secs(10),
+                slow_caller: Duration::from_secs(2),
+            },
+            spread: Spread {
+                memory_bytes: 256 * MIB as usize,
+                uploads: 16,
+                downloads: 32,
+                takeover: Duration::from_secs(2),
+            },
+            thin: None,
+            origin: 125_000_000.0,
+            policy: Policy::TwoChoices,
+            seed: 1,
+        }
+    }
+}
+
+/// The deployment.
+pub struct Cluster {
+    /// How it was built.
+    pub plan: Plan,
+    /// Log service.
+    pub log: Log,
+    /// Weight store.
+    pub store: Store,
+    /// Host list.
+    pub hosts: Hosts,
+    /// Paced links.
+    pub network: Arc<Network>,
+    /// What engines must load.
+    pub manifests: Manifests,
+    /// Operator's key.
+    pub operator: SigningKey,
+    /// Agents by host.
+    pub agents: BTreeMap<Box<str>, Host>,
+    /// Entry hosts by host.
+    pub entries: BTreeMap<Box<str>, Entry>,
+    authority: Authority,
+    log_server: Server,
+    store_server: Server,
+    hosts_server: Server,
+}
+
+/// A free UDP and TCP port on loopback.
+pub fn free_udp() -> SocketAddr {
+    let socket = UdpSocket::bind(server::any()).expect("loopback has free ports");
+    socket.local_addr().expect("bound sockets have an address")
+}
+
+/// A free TCP port on loopback.
+pub fn free_tcp() -> SocketAddr {
+    let socket = TcpListener::bind(server::any()).expect("loopback has free ports");
+    socket.local_addr().expect("bound sockets have an address")
+}
+
+impl Cluster {
+    /// Starts the platform's stand-ins and the entry hosts.
+    pub async fn open(plan: Plan) -> Result<Self> {
+        let network = Arc::new(Network::default());
+        if let Some(rate) = plan.thin {
+            for (_, region) in &plan.data_centres {
+                network.add_region(region, rate);
+            }
+        }
+        let log = Log::new(plan.seed);
+        let hosts = Hosts::default();
+        let mut store = Store::new(plan.seed);
+        if plan.thin.is_some() {
+            store = store.with_links(&plan.data_centres[0].1, plan.origin, &network);
+        }
+        let log_server = log.serve(server::any()).await?;
+        let store_server = store.serve(server::any()).await?;
+        let hosts_server = hosts.serve(server::any()).await?;
+        let mut cluster = Self {
+            operator: SigningKey::from_bytes(&[7; 32]),
+            authority: Authority::create()?,
+            manifests: Manifests::default(),
+            agents: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            plan,
+            log,
+            store,
+            hosts,
+            network,
+            log_server,
+            store_server,
+            hosts_server,
+        };
+        for (data_centre, _) in cluster.plan.data_centres.clone() {
+            for number in 0..cluster.plan.entries {
+                cluster.add_entry(&format!("{data_centre}-entry-{number}"), &data_centre).await?;
+            }
+        }
+        Ok(cluster)
+    }
+
+    /// Address of the log service.
+    pub fn log_address(&self) -> SocketAddr {
+        self.log_server.address()
+    }
+
+    /// Address of the host list.
+    pub fn hosts_address(&self) -> SocketAddr {
+        self.hosts_server.address()
+    }
+
+    /// Address of the weight store.
+    pub fn store_address(&self) -> SocketAddr {
+        self.store_server.address()
+    }
+
+    fn place(&self, host: &str, data_centre: &str) -> Place {
+        let known = self.plan.data_centres.iter();
+        let region = known.clone().find(|(name, _)| **name == *data_centre);
+        Place {
+            host: host.into(),
+            data_centre: data_centre.into(),
+            region: region.map(|(_, region)| region.clone()).unwrap_or_default(),
+        }
+    }
+
+    /// TLS keys of a host.
+    pub fn tls(&self, host: &str) -> Result<Tls> {
+        let pair = self.authority.issue(host)?;
+        Ok(cert::from_pem(&self.authority.certificate, &pair.certificate, &pair.key)?)
+    }
+
+    fn runtime(&self, region: &str) -> Arc<dyn Runtime> {
+        Shaped::new(&self.network, region)
+    }
+
+    fn operators(&self) -> Vec<Operator> {
+        vec![Operator {
+            name: "operator".into(),
+            key: self.operator.verifying_key().to_bytes(),
+        }]
+    }
+
+    fn files() -> settings::Tls {
+        settings::Tls {
+            authority: "".into(),
+            certificate: "".into(),
+            key: "".into(),
+        }
+    }
+
+    fn list(&self, place: &Place, role: &str, address: SocketAddr, service: &str) {
+        self.hosts.set(Line {
+            host: place.host.to_string(),
+            role: role.to_owned(),
+            data_centre: place.data_centre.to_string(),
+            region: place.region.to_string(),
+            address: address.to_string(),
+            service: service.to_owned(),
+            state: "live".to_owned(),
+        });
+    }
+
+    /// Adds and starts an entry host.
+    pub async fn add_entry(&mut self, host: &str, data_centre: &str) -> Result<()> {
+        let settings = settings::Entry {
+            place: self.place(host, data_centre),
+            listen: Listen {
+                http: Some(free_tcp()),
+                peer: free_udp(),
+                admin: free_tcp(),
+            },
+            tls: Self::files(),
+            log: self.log_address(),
+            hosts: self.hosts_address(),
+            operators: self.operators(),
+            limits: self.plan.limits,
+            timing: self.plan.timing,
+            log_level: "info".into(),
+        };
+        self.start_entry(settings).await
+    }
+
+    /// Starts an entry host with these settings.
+    pub async fn start_entry(&mut self, settings: settings::Entry) -> Result<()> {
+        let place = settings.place.clone();
+        self.list(&place, "entry", settings.listen.peer, "");
+        let tls = self.tls(&place.host)?;
+        let runtime = self.runtime(&place.region);
+        let entry = Entry::open(settings, &tls, runtime, self.plan.policy)
+            .await
+            .wrap_err("could not start an entry host")?;
+        self.entries.insert(place.host, entry);
+        Ok(())
+    }
+
+    /// Kills an entry host and returns its settings, for starting it again.
+    pub async fn kill_entry(&mut self, host: &str) -> Option<settings::Entry> {
+        let entry = self.entries.remove(host)?;
+        let settings = entry.shared().settings.clone();
+        entry.abort().await;
+        Some(settings)
+    }
+
+    /// Adds a backend server and its agent.
+    pub async fn add_host(
+        &mut self,
+        host: &str,
+        data_centre: &str,
+        service: &str,
+        kind: Kind,
+        behaviour: Behaviour,
+        change: impl FnOnce(&mut settings::Agent),
+    ) -> Result<()> {
+        let engine = match kind {
+            Kind::Engine => Engine::new(&self.manifests, behaviour),
+            Kind::Plain => Engine::plain(behaviour),
+        };
+        let server = engine.serve(server::any()).await?;
+        let mut settings = settings::Agent {
+            place: self.place(host, data_centre),
+            listen: Listen {
+                http: None,
+                peer: free_udp(),
+                admin: free_tcp(),
+            },
+            tls: Self::files(),
+            backend: Backend {
+                address: server.address(),
+                kind,
+                service: service.into(),
+                checks_fencing: behaviour.checks_fencing,
+                concurrency: 16,
+                cold_concurrency: 4,
+                warm: Duration::from_millis(500),
+            },
+            store: Some(self.store_address()),
+            operators: self.operators(),
+            spread: self.plan.spread,
+            timing: self.plan.timing,
+            log_level: "info".into(),
+        };
+        change(&mut settings);
+        let host: Box<str> = host.into();
+        self.agents.insert(
+            host.clone(),
+            Host {
+                settings,
+                engine,
+                server,
+                agent: None,
+            },
+        );
+        self.start_agent(&host).await
+    }
+
+    /// Starts a host's agent, or starts it again after it was killed.
+    pub async fn start_agent(&mut self, host: &str) -> Result<()> {
+        let settings = self.agents[host].settings.clone();
+        let tls = self.tls(host)?;
+        let runtime = self.runtime(&settings.place.region);
+        let service = settings.backend.service.clone();
+        self.list(&settings.place, "agent", settings.listen.peer, &service);
+        let agent = Agent::open(settings, &tls, runtime)
+            .await
+            .wrap_err("could not start an agent")?;
+        self.agents.get_mut(host).expect("host is known").agent = Some(agent);
+        Ok(())
+    }
+
+    /// Kills a host's agent.
+    pub async fn kill_agent(&mut self, host: &str) {
+        let found = self.agents.get_mut(host).and_then(|h| h.agent.take());
+        if let Some(agent) = found {
+            agent.abort().await;
+        }
+    }
+
+    /// Revision that some entry host has in force.
+    pub fn revision(&self) -> u64 {
+        let revisions = self.entries.values().map(|e| e.shared().state().revision);
+        revisions.max().unwrap_or(0)
+    }
+
+    /// Signs a change made from the present revision and appends it to the log.
+    pub fn change(&self, kind: Change) -> u64 {
+        let base = self.revision();
+        let signed = bundle::signed(&self.operator, base, kind);
+        self.log.push(bundle::record(signed));
+        base + 1
+    }
+
+    /// Rolls a bundle.
+    pub fn roll(&self, raw: Raw) -> u64 {
+        bundle::declare(&self.manifests, &raw);
+        self.change(Change::Roll(raw))
+    }
+
+    /// Whether every engine of the services with weights serves the version.
+    pub fn serves(&self, version: &str) -> bool {
+        let engines = self.agents.values().filter(|h| h.settings.backend.kind == Kind::Engine);
+        let mut engines = engines.filter(|h| h.agent.is_some());
+        engines.all(|h| h.engine.serving().as_deref() == Some(version))
+    }
+
+    /// Waits until `done`, at most for `limit`; gives the time it took.
+    pub async fn until(&self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let began = Instant::now();
+        while began.elapsed() < limit {
+            if done(self) {
+                return Some(began.elapsed());
+            }
+            time::sleep(POLL).await;
+        }
+        None
+    }
+
+    /// Callers' address of an entry host.
+    pub fn http(&self, host: &str) -> SocketAddr {
+        let settings = &self.entries[host].shared().settings;
+        settings.listen.http.expect("entry hosts have a callers' address")
+    }
+
+    /// Callers' addresses of all entry hosts.
+    pub fn all_http(&self) -> Vec<SocketAddr> {
+        self.entries.keys().map(|host| self.http(host)).collect()
+    }
+
+    /// Stops everything.
+    pub async fn close(self) {
+        for entry in self.entries.into_values() {
+            entry.abort().await;
+        }
+        for host in self.agents.into_values() {
+            if let Some(agent) = host.agent {
+                agent.abort().await;
+            }
+            host.server.close();
+        }
+        self.log_server.close();
+        self.store_server.close();
+        self.hosts_server.close();
+    }
+}
+
+/// QUIC runtime without paced links.
+pub fn plain_runtime() -> Arc<dyn Runtime> {
+    Arc::new(TokioRuntime)
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for the platform, backend servers and callers; for development only.
+
+pub mod bundle;
+pub mod caller;
+pub mod cluster;
+pub mod engine;
+pub mod hosts;
+pub mod log;
+pub mod server;
+pub mod shape;
+pub mod store;
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,13 @@
+//! What both processes need towards the outside: QUIC with mutual TLS between processes, an HTTP
+//! client with deadlines, the administration port, logs and signals.
+
+pub mod admin;
+pub mod cert;
+pub mod clock;
+pub mod frame;
+pub mod http;
+pub mod link;
+pub mod node;
+pub mod session;
+pub mod signal;
+pub mod telemetry;
--- /dev/null
+++ b/crates/net/src/signal.rs
@@ -0,0 +1,42 @@
+//! Signals: SIGTERM and SIGINT stop, a second one ends at once, SIGUSR1 dumps the state.
+
+use {
+    std::io,
+    tokio::signal::unix::{Signal, SignalKind, signal},
+};
+
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wish {
+    /// Stop, or end at once when it stops already.
+    Stop,
+    /// Write the state dump to standard error.
+    Dump,
+}
+
+/// Streams of the signals that the processes listen to.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    user: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    pub fn install() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            user: signal(SignalKind::user_defined1())?,
+        })
+    }
+
+    /// Waits for the next wish.
+    pub async fn next(&mut self) -> Wish {
+        tokio::select! {
+            _ = self.terminate.recv() => Wish::Stop,
+            _ = self.interrupt.recv() => Wish::Stop,
+            _ = self.user.recv() => Wish::Dump,
+        }
+    }
+}
