--- a/crates/agent/src/args.rs
+++ b/crates/agent/src/args.rs
@@ -3,8 +3,7 @@
 use {clap::Parser, std::path::PathBuf};
 
 /// Process of jayspread in a backend server host's slot.
-#[derive(Debug)]
-#[derive(Parser)]
+#[derive(Debug, Parser)]
 #[command(name = "jayspread-agent", version)]
 pub struct Args {
     /// Settings file, JSON with comments.
--- a/crates/agent/src/chunks.rs
+++ b/crates/agent/src/chunks.rs
@@ -95,7 +95,10 @@
         }
         self.promoted.remove(&hash);
         self.evict(&hash);
-        assert!(self.bytes <= self.bound.max(length), "chunk memory over its bound");
+        assert!(
+            self.bytes <= self.bound.max(length),
+            "chunk memory over its bound"
+        );
         Ok(())
     }
 
@@ -106,7 +109,9 @@
 
     /// Whether the version exchanged now needs the chunk.
     pub fn wants(&self, hash: &ChunkHash) -> bool {
-        self.exchange.as_ref().is_some_and(|e| e.wanted.contains(hash))
+        self.exchange
+            .as_ref()
+            .is_some_and(|e| e.wanted.contains(hash))
     }
 
     /// Notes that a peer needs this host to obtain a chunk in place of its leader.
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -124,18 +124,30 @@
             return;
         }
         let want = self.want(bundle, state.fence);
-        event!(Info, "version_wanted", version = want.version, fence = want.fence);
+        event!(
+            Info,
+            "version_wanted",
+            version = want.version,
+            fence = want.fence
+        );
         lock(&self.shared.loader).handle(&Event::Want(want), now);
     }
 
     /// Starts fetching when the engine lacks what is wanted and no fetch runs.
     fn fetch(&mut self, state: &State) {
-        if self.job.as_ref().is_some_and(|(_, task)| !task.is_finished()) {
+        if self
+            .job
+            .as_ref()
+            .is_some_and(|(_, task)| !task.is_finished())
+        {
             return;
         }
         let needed = {
             let loader = lock(&self.shared.loader);
-            let serving = self.seen.as_ref().and_then(|report| report.serving.as_ref());
+            let serving = self
+                .seen
+                .as_ref()
+                .and_then(|report| report.serving.as_ref());
             let same = |want: &Want| serving.is_some_and(|v| want.same.contains(v));
             loader.want().is_some_and(|want| !same(want)) && !loader.complete()
         };
@@ -154,7 +166,10 @@
         let service = self.shared.service();
         let content = bundle.content(service);
         let config = lock(&self.shared.config);
-        let same = config.fold.bundles().filter(|b| b.content(service) == content);
+        let same = config
+            .fold
+            .bundles()
+            .filter(|b| b.content(service) == content);
         Want {
             version: bundle.version.clone(),
             fence,
@@ -164,7 +179,11 @@
 
     /// Chunks of the version that the engine serves.
     fn present(&self) -> BTreeMap<ChunkHash, Place> {
-        let Some(version) = self.seen.as_ref().and_then(|report| report.serving.as_ref()) else {
+        let Some(version) = self
+            .seen
+            .as_ref()
+            .and_then(|report| report.serving.as_ref())
+        else {
             return BTreeMap::new();
         };
         let config = lock(&self.shared.config);
@@ -246,7 +265,12 @@
         let running = lock(&self.shared.admit).running();
         assert_eq!(running, 0, "an engine loads only when no attempt runs");
         self.shared.metrics.orders.inc();
-        event!(Info, "load_ordered", version = want.version, fence = want.fence);
+        event!(
+            Info,
+            "load_ordered",
+            version = want.version,
+            fence = want.fence
+        );
         match self.shared.engine.order(want).await {
             Ok(()) => Event::Ordered,
             Err(cause) => {
--- a/crates/agent/src/dump.rs
+++ b/crates/agent/src/dump.rs
@@ -73,6 +73,8 @@
         self.metrics.running.set(load.running.into());
         self.metrics.waiting.set(load.waiting.into());
         self.metrics.limit.set(load.limit.into());
-        self.metrics.chunk_bytes.set(lock(&self.chunks).bytes() as i64);
+        self.metrics
+            .chunk_bytes
+            .set(lock(&self.chunks).bytes() as i64);
     }
 }
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -76,8 +76,7 @@
 }
 
 /// State of an engine as JSON.
-#[derive(Debug, Clone, Default)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct State {
     /// Random number of the engine's present life.
     pub boot: u64,
@@ -93,8 +92,7 @@
 }
 
 /// A load order as JSON.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Order {
     /// Version to load.
     pub version: String,
@@ -121,7 +119,9 @@
 impl Engine for Http {
     fn state(&self) -> Later<'_, Result<Report, Error>> {
         Box::pin(async {
-            let call = self.control.fetch(Method::GET, "/state", Bytes::new(), STATE_MAX);
+            let call = self
+                .control
+                .fetch(Method::GET, "/state", Bytes::new(), STATE_MAX);
             let state: State = serde_json::from_slice(&call.await?)
                 .map_err(|cause| Error::Malformed(cause.to_string().into()))?;
             Ok(Report {
@@ -175,7 +175,9 @@
             let mut headers = work.headers;
             headers.remove(header::HOST);
             headers.remove(header::CONTENT_LENGTH);
-            self.work.send(work.method, &work.path, headers, work.body).await
+            self.work
+                .send(work.method, &work.path, headers, work.body)
+                .await
         })
     }
 }
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -142,7 +142,11 @@
         }
         while tasks.join_next().await.is_some() {}
         let staged = self.shared.staged.load(Ordering::Relaxed);
-        assert_eq!(staged as usize, self.places.len(), "complete means all chunks are staged");
+        assert_eq!(
+            staged as usize,
+            self.places.len(),
+            "complete means all chunks are staged"
+        );
         let version: Version = self.bundle.version.clone();
         event!(
             Info,
@@ -192,7 +196,12 @@
                 let Err(cause) = staged else {
                     break;
                 };
-                event!(Warn, "stage_failed", version = self.bundle.version, reason = cause);
+                event!(
+                    Warn,
+                    "stage_failed",
+                    version = self.bundle.version,
+                    reason = cause
+                );
                 time::sleep(ROUND_DELAY).await;
             }
         }
@@ -266,8 +275,8 @@
             return Ok(bytes);
         }
         let bytes = match source {
-            Source::Origin => self.from_origin(step).await?,
-            Source::Peer(host) => self.from_peer(step, host, acquire).await?,
+            Source::Origin => self.ask_origin(step).await?,
+            Source::Peer(host) => self.ask_peer(step, host, acquire).await?,
         };
         self.keep(step, source, bytes)
     }
@@ -290,14 +299,17 @@
         Err(Miss::Failed("corrupt"))
     }
 
-    async fn from_origin(&self, step: &Step) -> Result<Bytes, Miss> {
+    async fn ask_origin(&self, step: &Step) -> Result<Bytes, Miss> {
         let Some(store) = &self.shared.store else {
             return Err(Miss::Failed("no_store"));
         };
         let limit = self.transfer_limit();
         match store.chunk(step.hash, step.length, limit).await {
             Ok(bytes) => {
-                self.shared.metrics.bytes_from_origin.inc_by(bytes.len() as u64);
+                self.shared
+                    .metrics
+                    .bytes_from_origin
+                    .inc_by(bytes.len() as u64);
                 Ok(bytes)
             }
             Err(Refusal::Limited(delay)) => Err(Miss::Limited(delay)),
@@ -313,10 +325,14 @@
         self.shared.settings.spread.takeover * TRANSFER_TAKEOVERS
     }
 
-    async fn from_peer(&self, step: &Step, host: &Host, acquire: bool) -> Result<Bytes, Miss> {
+    async fn ask_peer(&self, step: &Step, host: &Host, acquire: bool) -> Result<Bytes, Miss> {
         let takeover = self.shared.settings.spread.takeover;
         let address = self.address(host).ok_or(Miss::Failed("unknown_peer"))?;
-        let session = self.shared.peers.session(&self.shared, host, address, takeover).await;
+        let session = self
+            .shared
+            .peers
+            .session(&self.shared, host, address, takeover)
+            .await;
         let session = session.ok_or(Miss::Failed("unreachable"))?;
         let fetch = Fetch {
             version: self.bundle.version.to_string(),
@@ -326,7 +342,10 @@
         };
         let exchange = async {
             let mut reader = session.ask(ask::Kind::Fetch(fetch)).await.ok()?;
-            let head = time::timeout(takeover * 2, reader.next()).await.ok()?.ok()?;
+            let head = time::timeout(takeover * 2, reader.next())
+                .await
+                .ok()?
+                .ok()?;
             let reply::Kind::Chunk(chunk) = head else {
                 return Some(Err(head));
             };
@@ -337,7 +356,10 @@
         };
         match time::timeout(self.transfer_limit(), exchange).await {
             Ok(Some(Ok(bytes))) => {
-                self.shared.metrics.bytes_from_peers.inc_by(bytes.len() as u64);
+                self.shared
+                    .metrics
+                    .bytes_from_peers
+                    .inc_by(bytes.len() as u64);
                 Ok(bytes)
             }
             Ok(Some(Err(reply::Kind::NoChunk(none)))) if none.pending => Err(Miss::Pending),
--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -7,8 +7,7 @@
         upload, work,
     },
     jayspread_net::{
-        event,
-        link,
+        event, link,
         session::{Session, Writer},
     },
     jayspread_schema::wire::{Beat, Hello, Pull, Role, Update, ask, reply},
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -10,8 +10,7 @@
 };
 
 /// Label of a counter by reason.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Reason {
     /// Short reason.
     pub reason: String,
@@ -79,25 +78,57 @@
         let r = &mut registry;
         r.register("started", "Attempts started", self.started.clone());
         r.register("whole", "Attempts with a whole answer", self.whole.clone());
-        r.register("failed", "Attempts without a whole answer", self.failed.clone());
+        r.register(
+            "failed",
+            "Attempts without a whole answer",
+            self.failed.clone(),
+        );
         r.register("refused", "Attempts refused", self.refused.clone());
         r.register("recalled", "Answers asked for again", self.recalled.clone());
-        r.register("foreign", "Answers to another request", self.foreign.clone());
+        r.register(
+            "foreign",
+            "Answers to another request",
+            self.foreign.clone(),
+        );
         r.register("nonsense", "Malformed messages", self.nonsense.clone());
-        r.register("bytes_from_peers", "Chunk bytes from peers", self.bytes_from_peers.clone());
-        r.register("bytes_from_origin", "Chunk bytes from the origin", self.bytes_from_origin.clone());
+        r.register(
+            "bytes_from_peers",
+            "Chunk bytes from peers",
+            self.bytes_from_peers.clone(),
+        );
+        r.register(
+            "bytes_from_origin",
+            "Chunk bytes from the origin",
+            self.bytes_from_origin.clone(),
+        );
         r.register("bytes_sent", "Chunk bytes sent", self.bytes_sent.clone());
-        r.register("bytes_sent_far", "Chunk bytes sent to other regions", self.bytes_sent_far.clone());
-        r.register("copied", "Chunks copied from the present version", self.copied.clone());
+        r.register(
+            "bytes_sent_far",
+            "Chunk bytes sent to other regions",
+            self.bytes_sent_far.clone(),
+        );
+        r.register(
+            "copied",
+            "Chunks copied from the present version",
+            self.copied.clone(),
+        );
         r.register("corrupt", "Chunks with a wrong hash", self.corrupt.clone());
-        r.register("fetch_failed", "Failed chunk requests", self.fetch_failed.clone());
+        r.register(
+            "fetch_failed",
+            "Failed chunk requests",
+            self.fetch_failed.clone(),
+        );
         r.register("orders", "Load orders", self.orders.clone());
         r.register("chilled", "Times turned cold", self.chilled.clone());
         r.register("revision", "Configuration revision", self.revision.clone());
         r.register("running", "Attempts running", self.running.clone());
         r.register("waiting", "Attempts waiting", self.waiting.clone());
         r.register("limit", "Limit on running attempts", self.limit.clone());
-        r.register("chunk_bytes", "Bytes of chunks held", self.chunk_bytes.clone());
+        r.register(
+            "chunk_bytes",
+            "Bytes of chunks held",
+            self.chunk_bytes.clone(),
+        );
         registry
     }
 }
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -85,7 +85,12 @@
             tokio::spawn(link::accept(node, handler)),
             tokio::spawn(Control::new(&shared).run()),
         ];
-        event!(Info, "started", host = shared.settings.place.host, role = "agent");
+        event!(
+            Info,
+            "started",
+            host = shared.settings.place.host,
+            role = "agent"
+        );
         Ok(Self {
             shared,
             admin,
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -167,7 +167,12 @@
         }
         for accepted in &update.changes {
             if let Err(reason) = config.fold.apply_accepted(accepted) {
-                event!(Warn, "change_refused", revision = accepted.revision, reason = reason);
+                event!(
+                    Warn,
+                    "change_refused",
+                    revision = accepted.revision,
+                    reason = reason
+                );
                 break;
             }
         }
@@ -180,7 +185,9 @@
         if !update.members.is_empty() && update.roster != config.roster {
             config.roster = update.roster;
             let members = update.members.iter();
-            config.members = members.map(|m| (m.host.as_str().into(), m.clone())).collect();
+            config.members = members
+                .map(|m| (m.host.as_str().into(), m.clone()))
+                .collect();
         }
         drop(config);
         self.wake.notify_one();
--- a/crates/agent/src/store.rs
+++ b/crates/agent/src/store.rs
@@ -38,8 +38,12 @@
 /// What an agent needs of the weight store.
 pub trait Store: Send + Sync + 'static {
     /// Fetches a chunk of `length` bytes within `limit`.
-    fn chunk(&self, hash: ChunkHash, length: u32, limit: Duration)
-    -> Later<'_, Result<Bytes, Refusal>>;
+    fn chunk(
+        &self,
+        hash: ChunkHash,
+        length: u32,
+        limit: Duration,
+    ) -> Later<'_, Result<Bytes, Refusal>>;
 }
 
 /// Weight store met over HTTP.
@@ -67,13 +71,9 @@
     ) -> Later<'_, Result<Bytes, Refusal>> {
         Box::pin(async move {
             let path = format!("/chunks/{}?region={}", hex::encode(hash), self.region);
-            let call = self.client.call_within(
-                limit,
-                Method::GET,
-                &path,
-                Bytes::new(),
-                length as usize,
-            );
+            let call =
+                self.client
+                    .call_within(limit, Method::GET, &path, Bytes::new(), length as usize);
             let (status, headers, body) = call.await.map_err(Refusal::Failed)?;
             match status {
                 StatusCode::OK => Ok(body),
@@ -82,7 +82,9 @@
                     let seconds = headers.get(header::RETRY_AFTER);
                     let seconds = seconds.and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
                     let delay = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
-                    Err(Refusal::Limited(delay.unwrap_or(DEFAULT_DELAY).min(DELAY_MAX)))
+                    Err(Refusal::Limited(
+                        delay.unwrap_or(DEFAULT_DELAY).min(DELAY_MAX),
+                    ))
                 }
                 status => Err(Refusal::Failed(Error::Status(status))),
             }
--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -7,7 +7,10 @@
     },
     bytes::Bytes,
     jayspread_core::id::ChunkHash,
-    jayspread_net::{clock, session::{Session, Writer}},
+    jayspread_net::{
+        clock,
+        session::{Session, Writer},
+    },
     jayspread_schema::wire::{Chunk, Fetch, NoChunk, reply},
     std::{sync::Arc, time::Duration},
     tokio::time,
--- a/crates/agent/src/work.rs
+++ b/crates/agent/src/work.rs
@@ -163,7 +163,12 @@
         Ok(work) => work,
         Err(reason) => return End::Failed(reason),
     };
-    event!(Debug, "attempt_started", request = submit.request, path = submit.path);
+    event!(
+        Debug,
+        "attempt_started",
+        request = submit.request,
+        path = submit.path
+    );
     let response = match shared.engine.work(work).await {
         Ok(response) => response,
         Err(Error::Connect(_)) => return End::NotStarted(Refusal::Unreachable),
@@ -240,7 +245,10 @@
             first = false;
             observe(shared, clock::now() - began);
         }
-        if time::timeout(admit::KEPT, answer.append(bytes)).await.is_err() {
+        if time::timeout(admit::KEPT, answer.append(bytes))
+            .await
+            .is_err()
+        {
             return End::Failed("nobody reads the answer".into());
         }
     }
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -228,8 +228,15 @@
 
     /// Ends a running attempt, whose answer is kept, and returns what may start instead.
     pub fn finish(&mut self, request: &Request, now: Instant) -> Vec<Turn> {
-        let entry = self.entries.get_mut(request).expect("finished attempt is in the table");
-        assert_eq!(entry.phase, Phase::Running, "only a running attempt finishes");
+        let entry = self
+            .entries
+            .get_mut(request)
+            .expect("finished attempt is in the table");
+        assert_eq!(
+            entry.phase,
+            Phase::Running,
+            "only a running attempt finishes"
+        );
         entry.phase = Phase::Finished;
         self.running -= 1;
         self.kept.push_back((now + KEPT, request.clone()));
--- a/crates/core/src/bundle.rs
+++ b/crates/core/src/bundle.rs
@@ -1,7 +1,9 @@
 //! Checked form of a versioned bundle.
 
 use {
-    crate::id::{ChunkHash, DataCentre, Host, Organisation, Region, Service as ServiceName, Version},
+    crate::id::{
+        ChunkHash, DataCentre, Host, Organisation, Region, Service as ServiceName, Version,
+    },
     jayspread_schema::config as proto,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -202,7 +204,10 @@
         };
         let names: BTreeSet<_> = service.artifacts.iter().collect();
         let mut pieces = Vec::new();
-        for artifact in names.into_iter().filter_map(|name| self.artifacts.get(name)) {
+        for artifact in names
+            .into_iter()
+            .filter_map(|name| self.artifacts.get(name))
+        {
             for (index, hash) in artifact.chunks.iter().enumerate() {
                 let (offset, length) = artifact.span(index);
                 pieces.push(Piece {
@@ -252,7 +257,10 @@
         return Err(error(field, format!("is longer than {NAME_MAX} bytes")));
     }
     if !value.chars().all(allowed) {
-        return Err(error(field, "may hold letters, digits, '-', '_' and '.' only"));
+        return Err(error(
+            field,
+            "may hold letters, digits, '-', '_' and '.' only",
+        ));
     }
     Ok(value.into())
 }
@@ -312,7 +320,10 @@
     }
     for (index, prefix) in raw.repeatable.iter().enumerate() {
         if !prefix.starts_with('/') {
-            return Err(error(format!("{field}.repeatable[{index}]"), "must start with '/'"));
+            return Err(error(
+                format!("{field}.repeatable[{index}]"),
+                "must start with '/'",
+            ));
         }
     }
     Ok(Service {
@@ -337,7 +348,10 @@
         }
     };
     if !(1..=1_000_000).contains(&raw.weight) {
-        return Err(error(format!("{field}.weight"), "must be from 1 to 1000000"));
+        return Err(error(
+            format!("{field}.weight"),
+            "must be from 1 to 1000000",
+        ));
     }
     Ok(Account {
         standing,
--- a/crates/core/src/chunk.rs
+++ b/crates/core/src/chunk.rs
@@ -109,7 +109,9 @@
         .map(|(index, host)| (id::score(&subject, host), index as u32))
         .collect();
     order.sort_unstable_by(|a, b| b.cmp(a));
-    let first = order.iter().position(|(_, index)| room[*index as usize] > 0);
+    let first = order
+        .iter()
+        .position(|(_, index)| room[*index as usize] > 0);
     if let Some(first) = first {
         let chosen = order.remove(first);
         room[chosen.1 as usize] -= 1;
@@ -164,7 +166,7 @@
             .enumerate()
             .map(|(index, hash)| survey.step(index, hash, lengths[hash]))
             .collect();
-        steps.sort_by(|a, b| a.0.cmp(&b.0));
+        steps.sort_by_key(|(rank, _)| *rank);
         let steps = steps.into_iter().map(|(_, step)| step).collect();
         Self { steps }
     }
@@ -215,7 +217,11 @@
         };
         let regional = &self.by_region[region];
         let duty = if regional.leader(chunk) == Some(&self.me.host) {
-            if from_origin { Duty::Origin } else { Duty::Region }
+            if from_origin {
+                Duty::Origin
+            } else {
+                Duty::Region
+            }
         } else if self.own.leader(chunk) == Some(&self.me.host) {
             Duty::DataCentre
         } else {
@@ -295,7 +301,10 @@
     /// Turns a reservation into bytes actually sent.
     pub fn settle(&mut self, reserved: u32, sent: u32) {
         assert!(sent <= reserved, "more bytes sent than reserved");
-        assert!(u64::from(reserved) <= self.reserved, "settled more than was reserved");
+        assert!(
+            u64::from(reserved) <= self.reserved,
+            "settled more than was reserved"
+        );
         self.reserved -= u64::from(reserved);
         self.sent += u64::from(sent);
     }
--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -7,11 +7,7 @@
 use {
     crate::id::{Key, Request},
     jayspread_schema::config as proto,
-    std::{
-        collections::BTreeMap,
-        fmt,
-        time::Duration,
-    },
+    std::{collections::BTreeMap, fmt, time::Duration},
 };
 
 /// Time for which a key is remembered, by the clocks that stamp claims.
@@ -151,7 +147,10 @@
     fn claim(&mut self, claim: &proto::Claim) {
         let key = array(&claim.key);
         self.latest_ms = self.latest_ms.max(claim.claimed_at_ms);
-        let held = self.entries.get(&key).is_some_and(|entry| !expired(entry, claim));
+        let held = self
+            .entries
+            .get(&key)
+            .is_some_and(|entry| !expired(entry, claim));
         if held && self.rule == Rule::FirstWins {
             return;
         }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -209,7 +209,11 @@
             });
         }
         let effect = self.fold(verified)?;
-        assert_eq!(self.revision(), before + 1, "an accepted change adds one revision");
+        assert_eq!(
+            self.revision(),
+            before + 1,
+            "an accepted change adds one revision"
+        );
         Ok((self.revision(), effect))
     }
 
@@ -283,8 +287,7 @@
             return Err(Refused::UnknownKey);
         }
         let key = VerifyingKey::from_bytes(&key).map_err(|_| Refused::UnknownKey)?;
-        let signature =
-            Signature::from_slice(&signed.signature).map_err(|_| Refused::Signature)?;
+        let signature = Signature::from_slice(&signed.signature).map_err(|_| Refused::Signature)?;
         key.verify_strict(&signed_bytes(&signed.change), &signature)
             .map_err(|_| Refused::Signature)?;
         let change = proto::Change::decode(&signed.change[..])
@@ -393,7 +396,10 @@
     }
 
     fn set_revision(&mut self, revision: Revision) {
-        assert!(revision >= self.state.revision, "a revision never goes down");
+        assert!(
+            revision >= self.state.revision,
+            "a revision never goes down"
+        );
         Arc::make_mut(&mut self.state).revision = revision;
     }
 
--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -6,10 +6,7 @@
 //! longest backlog per weight is shed, lowest class first.
 
 use {
-    crate::{
-        bundle::Account,
-        id::Organisation,
-    },
+    crate::{bundle::Account, id::Organisation},
     std::{
         cmp::Reverse,
         collections::{BTreeMap, VecDeque},
@@ -114,11 +111,14 @@
             flows: BTreeMap::new(),
         });
         let now = lane.now;
-        let flow = lane.flows.entry(organisation.into()).or_insert_with(|| Flow {
-            weight,
-            last: now,
-            items: VecDeque::new(),
-        });
+        let flow = lane
+            .flows
+            .entry(organisation.into())
+            .or_insert_with(|| Flow {
+                weight,
+                last: now,
+                items: VecDeque::new(),
+            });
         flow.weight = weight;
         flow.last = flow.last.max(now) + COST / weight;
         flow.items.push_back(Item {
@@ -170,7 +170,11 @@
 
     /// Removes the newest request of the longest backlog per weight, lowest class first.
     fn shed(&mut self) -> Option<T> {
-        let lane = self.lanes.values_mut().rev().find(|lane| !lane.flows.is_empty())?;
+        let lane = self
+            .lanes
+            .values_mut()
+            .rev()
+            .find(|lane| !lane.flows.is_empty())?;
         let longest = lane
             .flows
             .iter()
@@ -203,6 +207,7 @@
     /// Forgets organisations without requests whose tags lie in the past.
     fn tidy(&mut self) {
         let now = self.now;
-        self.flows.retain(|_, flow| !flow.items.is_empty() || flow.last > now);
+        self.flows
+            .retain(|_, flow| !flow.items.is_empty() || flow.last > now);
     }
 }
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -143,7 +143,11 @@
     }
 
     fn take_complete(&mut self, version: &Version) {
-        if self.want.as_ref().is_some_and(|want| want.version == *version) {
+        if self
+            .want
+            .as_ref()
+            .is_some_and(|want| want.version == *version)
+        {
             self.complete = true;
         }
     }
@@ -156,11 +160,17 @@
         let Some(want) = self.loadable().cloned() else {
             return Handled;
         };
-        if self.ordered.is_some_and(|at| context.now < at + ORDER_INTERVAL) {
+        if self
+            .ordered
+            .is_some_and(|at| context.now < at + ORDER_INTERVAL)
+        {
             return Handled;
         }
         self.ordered = Some(context.now);
-        assert!(self.outstanding.is_none(), "one order outstanding at a time");
+        assert!(
+            self.outstanding.is_none(),
+            "one order outstanding at a time"
+        );
         assert!(want.fence >= self.highest_fence, "fencing number goes down");
         self.highest_fence = want.fence;
         self.outstanding = Some((want.fence, context.now));
@@ -185,7 +195,10 @@
     }
 }
 
-#[state_machine(initial = "State::adopting()", state(derive(Debug, Clone, PartialEq, Eq)))]
+#[state_machine(
+    initial = "State::adopting()",
+    state(derive(Debug, Clone, PartialEq, Eq))
+)]
 impl Machine {
     /// A new agent reads the engine and waits out orders of its predecessor.
     #[state(superstate = "alive")]
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -165,7 +165,8 @@
                 worse.push((host.clone(), health));
             }
         }
-        self.records.retain(|_, r| r.listed || r.health != Health::Dead);
+        self.records
+            .retain(|_, r| r.listed || r.health != Health::Dead);
         worse
     }
 
@@ -188,7 +189,9 @@
 
     /// Hosts and their health.
     pub fn iter(&self) -> impl Iterator<Item = (&Host, Health)> {
-        self.records.iter().map(|(host, record)| (host, record.health))
+        self.records
+            .iter()
+            .map(|(host, record)| (host, record.health))
     }
 }
 
--- a/crates/core/src/ramp.rs
+++ b/crates/core/src/ramp.rs
@@ -98,7 +98,10 @@
         self.smooth(latency);
         self.answers += 1;
         self.grow(now);
-        assert!((self.cold..=self.full).contains(&self.limit), "limit out of range");
+        assert!(
+            (self.cold..=self.full).contains(&self.limit),
+            "limit out of range"
+        );
         false
     }
 
@@ -123,7 +126,9 @@
         if self.warm() || self.answers < self.limit || now < due {
             return;
         }
-        let next = (self.limit * STEP_PERCENT).div_ceil(100).max(self.limit + 1);
+        let next = (self.limit * STEP_PERCENT)
+            .div_ceil(100)
+            .max(self.limit + 1);
         self.limit = next.min(self.full);
         self.answers = 0;
         self.stepped = now;
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -65,13 +65,24 @@
     if waiting > 0 {
         gate.pause = format!("{waiting} wait: {serving} serve, floor is {floor}").into();
     }
-    let loading = gate.allowed.iter().filter(|host| serves(&pool[*host])).count();
-    assert!(loading == 0 || serving - loading >= floor, "gate breaks the floor");
+    let loading = gate
+        .allowed
+        .iter()
+        .filter(|host| serves(&pool[*host]))
+        .count();
+    assert!(
+        loading == 0 || serving - loading >= floor,
+        "gate breaks the floor"
+    );
     gate
 }
 
 fn serves(status: &Status) -> bool {
-    status.alive && matches!(status.phase, Phase::Serving | Phase::Ready | Phase::Fetching)
+    status.alive
+        && matches!(
+            status.phase,
+            Phase::Serving | Phase::Ready | Phase::Fetching
+        )
         && !status.serving.is_empty()
 }
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,11 +1,7 @@
 //! One attempt at a request: sent to an agent, followed over broken connections to its end.
 
 use {
-    crate::{
-        once::Summary,
-        shared::Shared,
-        slots::Slot,
-    },
+    crate::{once::Summary, shared::Shared, slots::Slot},
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header},
     jayspread_core::{
@@ -13,8 +9,7 @@
         id::{Host, Incarnation, Request, Version},
     },
     jayspread_net::{
-        clock, event,
-        frame,
+        clock, event, frame,
         link::Link,
         session::{Reader, Session},
     },
@@ -291,7 +286,12 @@
                         return Ending::Unknown("its backend server was restarted".into());
                     }
                     session = next;
-                    event!(Info, "recall", request = self.request, peer = session.peer.host);
+                    event!(
+                        Info,
+                        "recall",
+                        request = self.request,
+                        peer = session.peer.host
+                    );
                     step = self.ask_again(&session, sink).await;
                 }
             }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -136,7 +136,9 @@
         .max_header_list_size(limits.header_bytes as u32);
     let service = TowerToHyperService::new(router);
     let service = hyper::service::service_fn(move |request| service.call(request));
-    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+    let connection = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .into_owned();
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
         if let Err(cause) = connection.await {
@@ -242,7 +244,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        self.0.poll_recv(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
+        self.0
+            .poll_recv(cx)
+            .map(|piece| piece.map(|p| p.map(Frame::data)))
     }
 }
 
@@ -273,7 +277,11 @@
     };
     let Some(declared) = bundle.services.get(service) else {
         let detail = format!("no service '{service}'");
-        return Err(Problem::not_run(StatusCode::NOT_FOUND, "no-service", detail));
+        return Err(Problem::not_run(
+            StatusCode::NOT_FOUND,
+            "no-service",
+            detail,
+        ));
     };
     let repeatable = declared.repeatable(&path);
     let key = key.filter(|_| !repeatable);
@@ -352,15 +360,27 @@
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(cause)) if cause.is::<LengthLimitError>() => {
             let detail = format!("the body is larger than {max} bytes");
-            Err(Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, "too-large", detail))
+            Err(Problem::not_run(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "too-large",
+                detail,
+            ))
         }
         Ok(Err(_)) => {
             let detail = "the body broke off";
-            Err(Problem::not_run(StatusCode::BAD_REQUEST, "bad-body", detail))
+            Err(Problem::not_run(
+                StatusCode::BAD_REQUEST,
+                "bad-body",
+                detail,
+            ))
         }
         Err(_) => {
             let detail = "the body came too slowly";
-            Err(Problem::not_run(StatusCode::REQUEST_TIMEOUT, "slow-caller", detail))
+            Err(Problem::not_run(
+                StatusCode::REQUEST_TIMEOUT,
+                "slow-caller",
+                detail,
+            ))
         }
     }
 }
--- /dev/null
+++ b/crates/entry/src/cmd/bundle_new.rs
@@ -0,0 +1,184 @@
+//! `jayspread bundle new`: cuts files of weights into chunks and describes them.
+
+use {
+    crate::{
+        args::BundleNew,
+        cmd::{Run, Usage},
+    },
+    bytes::Bytes,
+    eyre::{Result, WrapErr},
+    http::Method,
+    jayspread_core::bundle::{Bundle, CHUNK_MAX, CHUNK_MIN},
+    jayspread_net::http::Client,
+    jayspread_schema::{
+        config::{Artifact, Bundle as Raw, DataCentre, Organisation, Service},
+        settings,
+    },
+    prost::Message,
+    serde::Deserialize,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
+};
+
+/// Chunk size where the description names none, bytes.
+const DEFAULT_CHUNK: u32 = 4 * 1024 * 1024;
+/// Deadline of one upload.
+const UPLOAD_MAX: Duration = Duration::from_secs(60);
+/// Largest answer to an upload, bytes.
+const ANSWER_MAX: usize = 64 * 1024;
+
+/// Description of a bundle, JSON with comments.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Description {
+    version: String,
+    origin_region: String,
+    #[serde(default)]
+    artifacts: Vec<ArtifactFile>,
+    services: Vec<ServiceLine>,
+    #[serde(default)]
+    organisations: Vec<OrganisationLine>,
+    data_centres: Vec<DataCentreLine>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ArtifactFile {
+    name: String,
+    /// "weights" or "adapter".
+    kind: String,
+    /// File with the bytes, relative to the description.
+    file: PathBuf,
+    #[serde(default)]
+    chunk_bytes: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ServiceLine {
+    name: String,
+    #[serde(default)]
+    artifacts: Vec<String>,
+    #[serde(default)]
+    repeatable: Vec<String>,
+    #[serde(default)]
+    floor_percent: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OrganisationLine {
+    name: String,
+    standing: String,
+    weight: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DataCentreLine {
+    name: String,
+    region: String,
+}
+
+impl Run for BundleNew {
+    async fn run(&self) -> Result<()> {
+        let path = &self.description;
+        let text = fs::read_to_string(path)
+            .map_err(|cause| Usage(format!("{}: {cause}", path.display()).into()))?;
+        let description: Description =
+            settings::decode(&text, path).map_err(|cause| Usage(cause.to_string().into()))?;
+        let store = self.store.map(|address| Client::new(address, UPLOAD_MAX));
+        let base = path.parent().unwrap_or(Path::new(""));
+        let mut artifacts = Vec::new();
+        for (index, artifact) in description.artifacts.iter().enumerate() {
+            artifacts.push(cut(artifact, index, base, path, store.as_ref()).await?);
+        }
+        let raw = raw(description, artifacts);
+        let checked = Bundle::check(&raw)
+            .map_err(|cause| Usage(format!("{}: {cause}", path.display()).into()))?;
+        fs::write(&self.output, raw.encode_to_vec())
+            .wrap_err_with(|| format!("could not write {}", self.output.display()))?;
+        let chunks: usize = checked.artifacts.values().map(|a| a.chunks.len()).sum();
+        println!("bundle version={} chunks={chunks}", checked.version);
+        Ok(())
+    }
+}
+
+/// Reads a file, hashes its chunks and uploads them when there is a store.
+async fn cut(
+    artifact: &ArtifactFile,
+    index: usize,
+    base: &Path,
+    description: &Path,
+    store: Option<&Client>,
+) -> Result<Artifact> {
+    let file = base.join(&artifact.file);
+    let usage = |field: &str, reason: String| {
+        let name = description.display();
+        Usage(format!("{name}: artifacts[{index}].{field}: {reason}").into())
+    };
+    let bytes =
+        fs::read(&file).map_err(|cause| usage("file", format!("{}: {cause}", file.display())))?;
+    let chunk_bytes = match artifact.chunk_bytes {
+        0 => DEFAULT_CHUNK,
+        bytes => bytes,
+    };
+    if !(CHUNK_MIN..=CHUNK_MAX).contains(&chunk_bytes) {
+        let reason = format!("must be from {CHUNK_MIN} to {CHUNK_MAX}");
+        return Err(usage("chunk_bytes", reason).into());
+    }
+    let bytes = Bytes::from(bytes);
+    let mut hashes = Vec::new();
+    let mut start = 0;
+    while start < bytes.len() {
+        let end = bytes.len().min(start + chunk_bytes as usize);
+        let chunk = bytes.slice(start..end);
+        let hash = blake3::hash(&chunk);
+        hashes.extend_from_slice(hash.as_bytes());
+        if let Some(store) = store {
+            let path = format!("/chunks/{}", hash.to_hex());
+            let put = store.fetch(Method::PUT, &path, chunk, ANSWER_MAX);
+            put.await.wrap_err("could not upload a chunk")?;
+        }
+        start = end;
+    }
+    Ok(Artifact {
+        name: artifact.name.clone(),
+        kind: artifact.kind.clone(),
+        size: bytes.len() as u64,
+        chunk_bytes,
+        chunks: hashes.into(),
+    })
+}
+
+fn raw(description: Description, artifacts: Vec<Artifact>) -> Raw {
+    let services = description.services.into_iter().map(|line| Service {
+        name: line.name,
+        artifacts: line.artifacts,
+        repeatable: line.repeatable,
+        floor_percent: line.floor_percent,
+    });
+    let organisations = description
+        .organisations
+        .into_iter()
+        .map(|line| Organisation {
+            name: line.name,
+            standing: line.standing,
+            weight: line.weight,
+        });
+    let data_centres = description.data_centres.into_iter().map(|line| DataCentre {
+        name: line.name,
+        region: line.region,
+    });
+    Raw {
+        version: description.version,
+        artifacts,
+        services: services.collect(),
+        organisations: organisations.collect(),
+        data_centres: data_centres.collect(),
+        origin_region: description.origin_region,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/cmd/bundle_roll.rs
@@ -0,0 +1,104 @@
+//! `jayspread bundle roll`: puts a signed bundle in force.
+
+use {
+    crate::{
+        args::{BundleRoll, Signer},
+        cmd::{Run, Usage, bundle_status, operator},
+    },
+    eyre::{Result, bail},
+    indicatif::{ProgressBar, ProgressStyle},
+    jayspread_core::config::Effect,
+    jayspread_schema::config::{Signed, change::Kind},
+    prost::Message,
+    std::{
+        fs,
+        io::IsTerminal,
+        path::Path,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// Interval of looking how far the roll-out has come.
+const POLL: Duration = Duration::from_millis(500);
+
+impl Run for BundleRoll {
+    async fn run(&self) -> Result<()> {
+        let accepted = match (&self.signed, &self.back, &self.key) {
+            (Some(file), _, _) => self.forward(file).await?,
+            (None, Some(version), Some(key)) => {
+                let signer = Signer {
+                    key: key.clone(),
+                    operator: "operator".to_owned(),
+                };
+                let kind = Kind::RollBack(version.clone());
+                operator::make(&self.platform, &signer, kind, self.output).await?
+            }
+            _ => return Err(Usage("give a signed file, or --back and --key".into()).into()),
+        };
+        if !self.wait {
+            return Ok(());
+        }
+        match accepted.effect {
+            Effect::Roll(version) | Effect::RollBack(version) => self.follow(&version).await,
+            _ => Ok(()),
+        }
+    }
+}
+
+impl BundleRoll {
+    async fn forward(&self, file: &Path) -> Result<operator::Accepted> {
+        let usage = |cause: String| Usage(format!("{}: {cause}", file.display()).into());
+        let bytes = fs::read(file).map_err(|cause| usage(cause.to_string()))?;
+        let signed = Signed::decode(&bytes[..])
+            .map_err(|cause| usage(format!("not a signed bundle: {cause}")))?;
+        let settings = operator::settings(&self.platform)?;
+        let mut reader = operator::Reader::open(&settings).await?;
+        let accepted = reader.append(&signed).await?;
+        operator::print(&accepted, self.output);
+        Ok(accepted)
+    }
+
+    /// Shows the roll-out's progress until every backend server serves the version.
+    async fn follow(&self, version: &str) -> Result<()> {
+        let settings = operator::settings(&self.platform)?;
+        let began = Instant::now();
+        let bar = (std::io::stderr().is_terminal() && !self.output.json).then(progress_bar);
+        let mut shown = None;
+        loop {
+            let progress = bundle_status::progress(&settings, version).await;
+            if let Ok(progress) = &progress
+                && shown.as_ref() != Some(progress)
+            {
+                match &bar {
+                    Some(bar) => {
+                        bar.set_length(progress.total as u64);
+                        bar.set_position(progress.serving as u64);
+                        bar.set_message(progress.pause.clone());
+                    }
+                    None => println!("{}", progress.line(version, self.output.json)),
+                }
+                if progress.done() {
+                    return Ok(());
+                }
+                shown = Some(progress.clone());
+            }
+            if began.elapsed() > Duration::from_secs(self.limit_s) {
+                bail!(
+                    "version {version} is not served everywhere after {} s",
+                    self.limit_s
+                );
+            }
+            time::sleep(POLL).await;
+        }
+    }
+}
+
+fn progress_bar() -> ProgressBar {
+    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} serve {elapsed} {msg}");
+    let bar = ProgressBar::new(0);
+    if let Ok(style) = style {
+        bar.set_style(style);
+    }
+    bar
+}
--- /dev/null
+++ b/crates/entry/src/cmd/bundle_sign.rs
@@ -0,0 +1,34 @@
+//! `jayspread bundle sign`: signs a bundle as the next change.
+
+use {
+    crate::{
+        args::BundleSign,
+        cmd::{Run, bundle_check, operator},
+    },
+    eyre::{Result, WrapErr},
+    jayspread_core::config,
+    jayspread_schema::config::change::Kind,
+    prost::Message,
+    std::fs,
+};
+
+impl Run for BundleSign {
+    async fn run(&self) -> Result<()> {
+        let (raw, bundle) = bundle_check::read(&self.bundle)?;
+        let key = operator::key(&self.signer.key)?;
+        let base = match self.base {
+            Some(base) => base,
+            None => {
+                let settings = operator::settings(&self.platform)?;
+                let reader = operator::Reader::open(&settings).await?;
+                reader.journal.fold.revision()
+            }
+        };
+        let change = operator::change(base, &self.signer.operator, Kind::Roll(raw));
+        let signed = config::sign(&change, &key);
+        fs::write(&self.output, signed.encode_to_vec())
+            .wrap_err_with(|| format!("could not write {}", self.output.display()))?;
+        println!("signed version={} base={base}", bundle.version);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/cmd/dump.rs
@@ -0,0 +1,27 @@
+//! `jayspread dump`: the state of a running process.
+
+use {
+    crate::{args::Dump, cmd::Run},
+    bytes::Bytes,
+    eyre::{Result, WrapErr},
+    http::Method,
+    jayspread_net::http::Client,
+    std::time::Duration,
+};
+
+/// Deadline of the call.
+const LIMIT: Duration = Duration::from_secs(5);
+/// Largest state dump, bytes.
+const DUMP_MAX: usize = 64 * 1024 * 1024;
+
+impl Run for Dump {
+    async fn run(&self) -> Result<()> {
+        let client = Client::new(self.admin, LIMIT);
+        let body = client
+            .fetch(Method::GET, "/dump", Bytes::new(), DUMP_MAX)
+            .await;
+        let body = body.wrap_err_with(|| format!("could not read the state of {}", self.admin))?;
+        print!("{}", String::from_utf8_lossy(&body));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/cmd/entry.rs
@@ -0,0 +1,54 @@
+//! `jayspread entry`: the process of an entry host.
+
+use {
+    crate::{
+        Process,
+        args::Entry,
+        cmd::{Run, Usage, operator},
+        shared::Shared,
+    },
+    eyre::{Result, WrapErr},
+    jayspread_core::route::Policy,
+    jayspread_net::{
+        admin::View,
+        cert,
+        signal::{Signals, Wish},
+        telemetry,
+    },
+    std::sync::{Arc, atomic::Ordering},
+};
+
+impl Run for Entry {
+    async fn run(&self) -> Result<()> {
+        let platform = crate::args::Platform {
+            settings: self.settings.clone(),
+        };
+        let settings = operator::settings(&platform)?;
+        let tls = cert::read(&settings.tls)
+            .map_err(|cause| Usage(format!("could not read settings: {cause}").into()))?;
+        telemetry::start(&settings.log_level);
+        let mut signals = Signals::install().wrap_err("could not install signal handlers")?;
+        let runtime = Arc::new(quinn::TokioRuntime);
+        let process = Process::open(settings, &tls, runtime, Policy::TwoChoices)
+            .await
+            .wrap_err("could not start")?;
+        while signals.next().await == Wish::Dump {
+            eprintln!("{:#}", process.shared().dump());
+        }
+        stop(process, signals).await;
+        Ok(())
+    }
+}
+
+/// Stops in order; a second signal ends at once and says what it cut off.
+async fn stop(process: Process, mut signals: Signals) {
+    let shared: Arc<Shared> = Arc::clone(process.shared());
+    let second = async { while signals.next().await != Wish::Stop {} };
+    tokio::select! {
+        _ = process.close() => {}
+        () = second => {
+            let calls = shared.calls.load(Ordering::Relaxed);
+            eprintln!("event=ended_at_once cut_off={calls}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/cmd/key.rs
@@ -0,0 +1,76 @@
+//! `jayspread key`: keys of operators and hosts.
+
+use {
+    crate::{
+        args::{KeyAuthority, KeyHost, KeyNew},
+        cmd::{Run, Usage},
+    },
+    ed25519_dalek::SigningKey,
+    eyre::{Result, WrapErr},
+    jayspread_core::bundle,
+    jayspread_net::cert::Authority,
+    std::{
+        fs::{self, OpenOptions},
+        io::Write,
+        os::unix::fs::OpenOptionsExt,
+        path::Path,
+    },
+};
+
+/// Permissions of files with private keys.
+const PRIVATE: u32 = 0o600;
+
+impl Run for KeyNew {
+    async fn run(&self) -> Result<()> {
+        let key = SigningKey::from_bytes(&rand::random());
+        write_private(&self.file, &format!("{}\n", hex::encode(key.to_bytes())))?;
+        println!("{}", hex::encode(key.verifying_key().to_bytes()));
+        Ok(())
+    }
+}
+
+impl Run for KeyAuthority {
+    async fn run(&self) -> Result<()> {
+        let authority = Authority::create().wrap_err("could not make the authority")?;
+        fs::create_dir_all(&self.folder)
+            .wrap_err_with(|| format!("could not make {}", self.folder.display()))?;
+        write_private(&self.folder.join("authority.key"), &authority.key)?;
+        write_public(&self.folder.join("authority.pem"), &authority.certificate)
+    }
+}
+
+impl Run for KeyHost {
+    async fn run(&self) -> Result<()> {
+        bundle::name("host", &self.host).map_err(|cause| Usage(cause.to_string().into()))?;
+        let read = |name: &str| {
+            let file = self.folder.join(name);
+            fs::read_to_string(&file)
+                .map_err(|cause| Usage(format!("{}: {cause}", file.display()).into()))
+        };
+        let authority = Authority::open(&read("authority.pem")?, &read("authority.key")?)
+            .wrap_err("could not open the authority")?;
+        let pair = authority
+            .issue(&self.host)
+            .wrap_err("could not issue the certificate")?;
+        write_private(&self.folder.join(format!("{}.key", self.host)), &pair.key)?;
+        write_public(
+            &self.folder.join(format!("{}.pem", self.host)),
+            &pair.certificate,
+        )
+    }
+}
+
+/// Writes a file that only its owner reads; an existing one is left alone.
+fn write_private(file: &Path, text: &str) -> Result<()> {
+    let mut options = OpenOptions::new();
+    options.write(true).create_new(true).mode(PRIVATE);
+    let mut open = options
+        .open(file)
+        .wrap_err_with(|| format!("could not make {}", file.display()))?;
+    open.write_all(text.as_bytes())
+        .wrap_err_with(|| format!("could not write {}", file.display()))
+}
+
+fn write_public(file: &Path, text: &str) -> Result<()> {
+    fs::write(file, text).wrap_err_with(|| format!("could not write {}", file.display()))
+}
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -165,7 +165,9 @@
 
     async fn no_slot(&mut self, refused: Refused) -> Next {
         if self.sink.begun() {
-            self.sink.cut("no backend server can resume the answer").await;
+            self.sink
+                .cut("no backend server can resume the answer")
+                .await;
             self.shared.metrics.cut.inc();
             return Next::Done;
         }
@@ -256,7 +258,11 @@
         );
         if clock::now() >= self.call.deadline || reason == Refusal::Deadline {
             let detail = "the deadline passed before the request started";
-            return Next::Stop(Problem::not_run(StatusCode::GATEWAY_TIMEOUT, "deadline", detail));
+            return Next::Stop(Problem::not_run(
+                StatusCode::GATEWAY_TIMEOUT,
+                "deadline",
+                detail,
+            ));
         }
         self.excluded.insert(host.clone());
         if !self.may_retry() {
@@ -276,7 +282,13 @@
 
     /// Decides after an attempt that may have started.
     async fn unknown(&mut self, host: &Host, reason: &str) -> Next {
-        event!(Warn, "attempt_unknown", request = self.call.id, peer = host, reason = reason);
+        event!(
+            Warn,
+            "attempt_unknown",
+            request = self.call.id,
+            peer = host,
+            reason = reason
+        );
         let allowed = retry::allowed(retry::Attempt::Unknown, self.call.repeatable);
         if allowed && clock::now() < self.call.deadline && self.may_retry() {
             self.excluded.insert(host.clone());
@@ -379,8 +391,11 @@
 }
 
 fn in_doubt(reason: &str) -> Problem {
-    Problem::unknown("in-doubt", format!("an earlier request with this key: {reason}"))
-        .after(AWAY_DELAY)
+    Problem::unknown(
+        "in-doubt",
+        format!("an earlier request with this key: {reason}"),
+    )
+    .after(AWAY_DELAY)
 }
 
 /// Counts a refusal.
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -9,10 +9,7 @@
     jayspread_net::{admin::View, clock},
     jayspread_schema::wire::Phase,
     serde_json::{Value, json},
-    std::{
-        sync::atomic::Ordering,
-        time::Duration,
-    },
+    std::{sync::atomic::Ordering, time::Duration},
 };
 
 /// Time after which an entry host takes requests although the log's end was not reached.
@@ -38,7 +35,9 @@
         let place = &self.settings.place;
         let state = self.state();
         let backends = self.slots.backends();
-        let shown = backends.iter().map(|(host, b)| (host.to_string(), self.backend(host, b)));
+        let shown = backends
+            .iter()
+            .map(|(host, b)| (host.to_string(), self.backend(host, b)));
         let journal = {
             let journal = lock(&self.journal);
             json!({
@@ -51,7 +50,9 @@
         let members: serde_json::Map<String, Value> = {
             let roster = lock(&self.roster);
             let health = roster.health.iter();
-            health.map(|(host, h)| (host.to_string(), json!(format!("{h:?}")))).collect()
+            health
+                .map(|(host, h)| (host.to_string(), json!(format!("{h:?}"))))
+                .collect()
         };
         json!({
             "host": place.host,
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -76,7 +76,12 @@
             return;
         };
         let slots = &self.shared.slots;
-        slots.report(&peer.host, &peer.data_centre, peer.incarnation, load.clone());
+        slots.report(
+            &peer.host,
+            &peer.data_centre,
+            peer.incarnation,
+            load.clone(),
+        );
         if beat.leaving {
             slots.set_alive(&peer.host, false);
         }
@@ -111,10 +116,21 @@
         let change = {
             let mut roster = lock(&shared.roster);
             let health = &mut roster.health;
-            health.beat(&peer.host, peer.incarnation, beat.sequence, beat.leaving, clock::now())
+            health.beat(
+                &peer.host,
+                peer.incarnation,
+                beat.sequence,
+                beat.leaving,
+                clock::now(),
+            )
         };
         if change != Change::None {
-            event!(Info, "host_heard", host = peer.host, change = format!("{change:?}"));
+            event!(
+                Info,
+                "host_heard",
+                host = peer.host,
+                change = format!("{change:?}")
+            );
             lock(&shared.roster).renumber();
         }
         if peer.role == i32::from(Role::Agent) {
--- a/crates/entry/src/hosts.rs
+++ b/crates/entry/src/hosts.rs
@@ -8,10 +8,7 @@
     jayspread_net::http::{Client, Error},
     jayspread_schema::wire::{Member, Role},
     serde::{Deserialize, Serialize},
-    std::{
-        net::SocketAddr,
-        time::Duration,
-    },
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Largest list, bytes.
@@ -33,8 +30,7 @@
 }
 
 /// One host as JSON.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Line {
     /// Name of the host.
     pub host: String,
@@ -71,7 +67,9 @@
 impl Hosts for Http {
     fn list(&self) -> Later<'_, Result<List, Error>> {
         Box::pin(async {
-            let call = self.client.fetch(Method::GET, "/hosts", Bytes::new(), LIST_MAX);
+            let call = self
+                .client
+                .fetch(Method::GET, "/hosts", Bytes::new(), LIST_MAX);
             let lines: Vec<serde_json::Value> = serde_json::from_slice(&call.await?)
                 .map_err(|cause| Error::Malformed(cause.to_string().into()))?;
             let total = lines.len();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,8 +3,10 @@
 //! A caller's request goes from [`callers`] through the fair queue and the router in
 //! [`dispatch`] to an agent, and its answer comes back the same way.
 
+pub mod args;
 pub mod attempt;
 pub mod callers;
+pub mod cmd;
 pub mod dispatch;
 pub mod dump;
 pub mod handler;
--- a/crates/entry/src/log.rs
+++ b/crates/entry/src/log.rs
@@ -48,16 +48,14 @@
 }
 
 /// Answer to an append as JSON.
-#[derive(Debug, Clone, Copy)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct Appended {
     /// Position of the record.
     pub offset: Offset,
 }
 
 /// A record as JSON.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Line {
     /// Position.
     pub offset: Offset,
@@ -66,8 +64,7 @@
 }
 
 /// Answer to a read as JSON.
-#[derive(Debug, Clone, Default)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Lines {
     /// First position kept.
     pub first: Offset,
@@ -95,7 +92,10 @@
 impl Log for Http {
     fn append(&self, record: Bytes) -> Later<'_, Result<Offset, Error>> {
         Box::pin(async move {
-            let body = self.client.fetch(Method::POST, "/append", record, PAGE_MAX).await?;
+            let body = self
+                .client
+                .fetch(Method::POST, "/append", record, PAGE_MAX)
+                .await?;
             let appended: Appended = decode(&body)?;
             Ok(appended.offset)
         })
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -22,8 +22,7 @@
 const BUCKETS: u16 = 16;
 
 /// Label of a counter by reason.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Reason {
     /// Short reason.
     pub reason: String,
@@ -117,7 +116,11 @@
         r.register("cut", "Answers cut off", self.cut.clone());
         r.register("refused", "Requests refused", self.refused.clone());
         r.register("retries", "Attempts beyond the first", self.retries.clone());
-        r.register("retries_denied", "Retries denied", self.retries_denied.clone());
+        r.register(
+            "retries_denied",
+            "Retries denied",
+            self.retries_denied.clone(),
+        );
         r.register("recalls", "Answers asked for again", self.recalls.clone());
         r.register("resumed", "Streams resumed", self.resumed.clone());
         r.register("shed", "Requests shed", self.shed.clone());
@@ -125,7 +128,11 @@
         r.register("appends", "Appends by result", self.appends.clone());
         r.register("records", "Records by outcome", self.records.clone());
         r.register("nonsense", "Malformed messages", self.nonsense.clone());
-        r.register("first_byte_seconds", "Time to the first byte", self.first_byte.clone());
+        r.register(
+            "first_byte_seconds",
+            "Time to the first byte",
+            self.first_byte.clone(),
+        );
         r.register("queued_seconds", "Time in the queue", self.queued.clone());
         r.register("revision", "Configuration revision", self.revision.clone());
         r.register("in_flight", "Requests in flight", self.in_flight.clone());
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -8,8 +8,7 @@
 };
 
 /// Whether a refused request has run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Ran {
     /// Proven not to have run, and never to run.
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -97,7 +97,12 @@
             tokio::spawn(once::run(Arc::clone(&shared))),
             tokio::spawn(roster::run(Arc::clone(&shared))),
         ];
-        event!(Info, "started", host = shared.settings.place.host, role = "entry");
+        event!(
+            Info,
+            "started",
+            host = shared.settings.place.host,
+            role = "entry"
+        );
         Ok(Self {
             shared,
             admin,
@@ -117,9 +122,15 @@
         let shared = Arc::clone(&self.shared);
         let due = clock::now() + shared.settings.timing.drain;
         shared.leaving.store(true, Ordering::Relaxed);
-        event!(Info, "stopping", calls = shared.calls.load(Ordering::Relaxed));
+        event!(
+            Info,
+            "stopping",
+            calls = shared.calls.load(Ordering::Relaxed)
+        );
         time::sleep(BALANCER_NOTICE.min(shared.settings.timing.drain)).await;
-        self.callers.close(due.saturating_duration_since(clock::now())).await;
+        self.callers
+            .close(due.saturating_duration_since(clock::now()))
+            .await;
         while clock::now() < due && !idle(&shared) {
             time::sleep(DRAIN_POLL).await;
         }
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -24,7 +24,7 @@
 };
 
 /// Interval of reading the platform's list.
-const LIST_INTERVAL: Duration = Duration::from_secs(2);
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of judging health and slots.
 const TICK: Duration = Duration::from_millis(50);
 /// Entry hosts of each other data centre that are connected to.
@@ -96,7 +96,11 @@
         let entries = self.by_data_centre(|m| m.role == i32::from(Role::Entry));
         for (place, hosts) in &entries {
             let near = **place == *data_centre;
-            let chosen = if near { hosts.clone() } else { nearest(me, hosts, FAR_ENTRIES) };
+            let chosen = if near {
+                hosts.clone()
+            } else {
+                nearest(me, hosts, FAR_ENTRIES)
+            };
             wanted.extend(chosen.into_iter().filter(|host| **host > *me));
         }
         let mut own = entries.get(data_centre).cloned().unwrap_or_default();
@@ -120,7 +124,10 @@
     }
 
     fn services(&self) -> BTreeSet<Box<str>> {
-        self.members.values().map(|m| m.service.as_str().into()).collect()
+        self.members
+            .values()
+            .map(|m| m.service.as_str().into())
+            .collect()
     }
 
     fn by_data_centre(
@@ -138,9 +145,16 @@
 
 /// The `count` hosts with the highest scores for `me`.
 fn nearest(me: &str, hosts: &BTreeSet<Host>, count: usize) -> BTreeSet<Host> {
-    let mut scored: Vec<_> = hosts.iter().map(|h| (id::score(me.as_bytes(), h), h)).collect();
+    let mut scored: Vec<_> = hosts
+        .iter()
+        .map(|h| (id::score(me.as_bytes(), h), h))
+        .collect();
     scored.sort_unstable_by(|a, b| b.cmp(a));
-    scored.into_iter().take(count).map(|(_, host)| host.clone()).collect()
+    scored
+        .into_iter()
+        .take(count)
+        .map(|(_, host)| host.clone())
+        .collect()
 }
 
 /// Reads the platform's list, judges health and keeps the connections; runs until aborted.
@@ -166,7 +180,12 @@
 fn judge(shared: &Shared, now: Instant) {
     let worse = lock(&shared.roster).health.tick(now);
     for (host, health) in worse {
-        event!(Warn, "host_silent", host = host, health = format!("{health:?}"));
+        event!(
+            Warn,
+            "host_silent",
+            host = host,
+            health = format!("{health:?}")
+        );
         shared.slots.set_alive(&host, false);
         if health == Health::Dead {
             shared.slots.forget(&host);
@@ -189,8 +208,10 @@
 
 fn take_list(shared: &Arc<Shared>, members: Vec<Member>) {
     let me = &shared.settings.place.host;
-    let leaving: Vec<(String, bool)> =
-        members.iter().map(|m| (m.host.clone(), m.leaving)).collect();
+    let leaving: Vec<(String, bool)> = members
+        .iter()
+        .map(|m| (m.host.clone(), m.leaving))
+        .collect();
     let wanted = {
         let mut roster = lock(&shared.roster);
         roster.list(members, clock::now());
@@ -212,7 +233,10 @@
         shared.slots.forget(&host);
     }
     for (host, address) in wanted {
-        if links.get(&host).is_some_and(|link| link.address() == address) {
+        if links
+            .get(&host)
+            .is_some_and(|link| link.address() == address)
+        {
             continue;
         }
         let handler = Arc::new(Handler::new(shared));
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -5,25 +5,12 @@
 
 use {
     crate::{
-        hosts::Hosts,
-        journal::Journal,
-        log::Log,
-        metrics::Metrics,
-        once::Claims,
-        roster::Roster,
+        hosts::Hosts, journal::Journal, log::Log, metrics::Metrics, once::Claims, roster::Roster,
         slots::Slots,
     },
-    jayspread_core::{
-        config::State,
-        id::Host,
-        retry::Budget,
-        route::Policy,
-    },
+    jayspread_core::{config::State, id::Host, retry::Budget, route::Policy},
     jayspread_net::{clock, event, link::Link, node::Node},
-    jayspread_schema::{
-        settings::Entry as Settings,
-        wire::Update,
-    },
+    jayspread_schema::{settings::Entry as Settings, wire::Update},
     std::{
         collections::BTreeMap,
         sync::{
@@ -88,7 +75,12 @@
     ) -> Arc<Self> {
         let operators = settings.operators.iter().map(|o| o.key);
         let seed = node.identity.incarnation;
-        let slots = Slots::new(&settings.place.data_centre, settings.limits.queue, policy, seed);
+        let slots = Slots::new(
+            &settings.place.data_centre,
+            settings.limits.queue,
+            policy,
+            seed,
+        );
         Arc::new(Self {
             journal: Mutex::new(Journal::new(operators)),
             roster: Mutex::new(Roster::new(settings.timing.heartbeat)),
@@ -133,7 +125,12 @@
         }
         for accepted in &update.changes {
             if let Err(reason) = journal.fold.apply_accepted(accepted) {
-                event!(Warn, "change_refused", revision = accepted.revision, reason = reason);
+                event!(
+                    Warn,
+                    "change_refused",
+                    revision = accepted.revision,
+                    reason = reason
+                );
                 break;
             }
         }
--- a/crates/entry/src/slots.rs
+++ b/crates/entry/src/slots.rs
@@ -138,7 +138,8 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.slots.release(&self.host, &self.service, clock::now() - self.began);
+        self.slots
+            .release(&self.host, &self.service, clock::now() - self.began);
     }
 }
 
@@ -352,7 +353,10 @@
                 .filter(|(_, b)| b.load.service == **name && b.data_centre == self.data_centre)
                 .map(|(host, b)| (host.clone(), b.status()))
                 .collect();
-            (name.clone(), gate(&pool, &bundle.version, service.floor_percent))
+            (
+                name.clone(),
+                gate(&pool, &bundle.version, service.floor_percent),
+            )
         });
         gates.collect()
     }
@@ -366,8 +370,13 @@
     /// Reasons why roll-outs wait, by service.
     pub fn pauses(&self) -> BTreeMap<Service, Box<str>> {
         let inner = self.lock();
-        let waiting = inner.gates.iter().filter(|(_, gate)| !gate.pause.is_empty());
-        waiting.map(|(name, gate)| (name.clone(), gate.pause.clone())).collect()
+        let waiting = inner
+            .gates
+            .iter()
+            .filter(|(_, gate)| !gate.pause.is_empty());
+        waiting
+            .map(|(name, gate)| (name.clone(), gate.pause.clone()))
+            .collect()
     }
 
     /// Backend servers as last reported.
@@ -401,10 +410,20 @@
         if need.deadline <= now {
             return true;
         }
-        let usual = self.durations.get(&need.service).copied().unwrap_or_default();
+        let usual = self
+            .durations
+            .get(&need.service)
+            .copied()
+            .unwrap_or_default();
         let queued = self.queues.get(&need.service).map_or(0, Queue::len) as u32;
-        let serving = self.backends.values().filter(|b| *b.load.service == *need.service);
-        let limit: u32 = serving.filter(|b| b.usable(&self.out)).map(|b| b.load.limit).sum();
+        let serving = self
+            .backends
+            .values()
+            .filter(|b| *b.load.service == *need.service);
+        let limit: u32 = serving
+            .filter(|b| b.usable(&self.out))
+            .map(|b| b.load.limit)
+            .sum();
         if queued == 0 || limit == 0 {
             return false;
         }
--- a/crates/entry/src/tail.rs
+++ b/crates/entry/src/tail.rs
@@ -99,18 +99,34 @@
     match outcome {
         Outcome::Accepted(revision, effect) => {
             Metrics::count(records, "accepted");
-            event!(Info, "change", revision = revision, effect = effect, offset = entry.offset);
+            event!(
+                Info,
+                "change",
+                revision = revision,
+                effect = effect,
+                offset = entry.offset
+            );
         }
         Outcome::Refused(reason) => {
             Metrics::count(records, "refused");
-            event!(Warn, "change_refused", offset = entry.offset, reason = reason);
+            event!(
+                Warn,
+                "change_refused",
+                offset = entry.offset,
+                reason = reason
+            );
         }
         Outcome::Checkpoint(_) => Metrics::count(records, "checkpoint"),
         Outcome::Batch => Metrics::count(records, "batch"),
         Outcome::Unplaced => Metrics::count(records, "unplaced"),
         Outcome::Nonsense(reason) => {
             Metrics::count(records, "nonsense");
-            event!(Warn, "record_malformed", offset = entry.offset, reason = reason);
+            event!(
+                Warn,
+                "record_malformed",
+                offset = entry.offset,
+                reason = reason
+            );
         }
     }
 }
@@ -151,7 +167,9 @@
     let entries = roster.members.values().filter(|m| {
         m.role == i32::from(Role::Entry) && roster.health.health(&m.host) == Health::Alive
     });
-    entries.filter(|m| id::score(&revision, &m.host) > own).count() as u32
+    entries
+        .filter(|m| id::score(&revision, &m.host) > own)
+        .count() as u32
 }
 
 async fn write(shared: &Shared) {
@@ -163,7 +181,12 @@
     match shared.log.append(record.encode_to_vec().into()).await {
         Ok(offset) => {
             Metrics::count(&shared.metrics.appends, "checkpoint");
-            event!(Info, "checkpoint_written", revision = revision, offset = offset);
+            event!(
+                Info,
+                "checkpoint_written",
+                revision = revision,
+                offset = offset
+            );
         }
         Err(cause) => event!(Warn, "checkpoint_lost", reason = cause),
     }
--- a/crates/fakes/examples/demo.rs
+++ b/crates/fakes/examples/demo.rs
@@ -40,8 +40,7 @@
 const NO_NEW_WORK: Duration = Duration::from_secs(3);
 
 /// Builds a small deployment on loopback and shows what jayspread does.
-#[derive(Debug)]
-#[derive(Parser)]
+#[derive(Debug, Parser)]
 struct Args {
     /// Leave it running at the end and print addresses.
     #[arg(long)]
@@ -67,7 +66,10 @@
 async fn run(args: &Args) -> Result<()> {
     let began = Instant::now();
     let mut cluster = build().await?;
-    say(began, "platform, 3 entry hosts and 16 backend servers started");
+    say(
+        began,
+        "platform, 3 entry hosts and 16 backend servers started",
+    );
     first_roll(&cluster, began).await?;
     requests(&cluster, began).await?;
     let load = Load::start(&cluster);
@@ -75,7 +77,11 @@
     second_roll(&cluster, began).await?;
     let figures = load.stop().await;
     say(began, &format!("under load: {figures}"));
-    ensure!(figures.wrong == 0, "{} answers were wrong or cut off", figures.wrong);
+    ensure!(
+        figures.wrong == 0,
+        "{} answers were wrong or cut off",
+        figures.wrong
+    );
     ensure!(figures.whole > 0, "no request was answered under load");
     promises(&cluster)?;
     if args.keep {
@@ -108,7 +114,14 @@
         let host = format!("lodgement-{number}");
         add(&mut cluster, &host, place, "lodgement", Kind::Engine).await?;
     }
-    add(&mut cluster, "registry-0", places[0], "registry", Kind::Plain).await?;
+    add(
+        &mut cluster,
+        "registry-0",
+        places[0],
+        "registry",
+        Kind::Plain,
+    )
+    .await?;
     Ok(cluster)
 }
 
@@ -120,7 +133,9 @@
     kind: Kind,
 ) -> Result<()> {
     let behaviour = Behaviour::default();
-    cluster.add_host(host, place, service, kind, behaviour, |_| {}).await
+    cluster
+        .add_host(host, place, service, kind, behaviour, |_| {})
+        .await
 }
 
 fn raw(cluster: &Cluster, version: &str, differs: bool) -> Raw {
@@ -165,7 +180,10 @@
             backends.len() == c.agents.len() && backends.values().all(|b| b.alive)
         })
     };
-    ensure!(cluster.until(STEP_MAX, usable).await.is_some(), "backend servers not connected");
+    ensure!(
+        cluster.until(STEP_MAX, usable).await.is_some(),
+        "backend servers not connected"
+    );
     time::sleep(Duration::from_millis(300)).await;
     Ok(())
 }
@@ -185,12 +203,22 @@
         .map(|address| Caller::new(address, STEP_MAX))
         .collect();
     let plain = Request::default();
-    let answer = callers[0].generate("drafting", &prompt("permit", false), &plain).await?;
+    let answer = callers[0]
+        .generate("drafting", &prompt("permit", false), &plain)
+        .await?;
     ok(&answer)?;
-    say(began, &format!("plain answer from version {}", answer.version()));
-    let answer = callers[1].generate("drafting", &prompt("letter", true), &plain).await?;
+    say(
+        began,
+        &format!("plain answer from version {}", answer.version()),
+    );
+    let answer = callers[1]
+        .generate("drafting", &prompt("letter", true), &plain)
+        .await?;
     ok(&answer)?;
-    say(began, &format!("streamed answer of {} bytes, whole", answer.body.len()));
+    say(
+        began,
+        &format!("streamed answer of {} bytes, whole", answer.body.len()),
+    );
     let status = callers[2].send(Method::GET, "/v1/registry/status/spot", &plain, Vec::new());
     ok(&status.await?)?;
     let keyed = Request {
@@ -207,19 +235,28 @@
     }
     let applied = effects(cluster, "fee-1");
     ensure!(applied == 1, "the fee was applied {applied} times");
-    say(began, "one fee lodged through three entry hosts with one key: applied once");
+    say(
+        began,
+        "one fee lodged through three entry hosts with one key: applied once",
+    );
     Ok(())
 }
 
 fn ok(answer: &Answer) -> Result<()> {
     let body = String::from_utf8_lossy(&answer.body);
-    ensure!(answer.status.is_success(), "answered {}: {body}", answer.status);
+    ensure!(
+        answer.status.is_success(),
+        "answered {}: {body}",
+        answer.status
+    );
     Ok(())
 }
 
 fn effects(cluster: &Cluster, effect: &str) -> u64 {
     let counts = cluster.agents.values().map(|host| host.engine.books());
-    counts.filter_map(|books| books.effects.get(effect).copied()).sum()
+    counts
+        .filter_map(|books| books.effects.get(effect).copied())
+        .sum()
 }
 
 /// Work begun at the engines of a data centre.
@@ -245,15 +282,33 @@
         last = now;
         time::sleep(Duration::from_millis(10)).await;
     }
-    ensure!(stopped < NO_NEW_WORK, "{place} got new work {stopped:?} after it was taken out");
-    ensure!(quiet_since.elapsed() > Duration::from_secs(1), "{place} still gets work");
-    say(began, &format!("{place} taken out: last new work after {} ms", stopped.as_millis()));
+    ensure!(
+        stopped < NO_NEW_WORK,
+        "{place} got new work {stopped:?} after it was taken out"
+    );
+    ensure!(
+        quiet_since.elapsed() > Duration::from_secs(1),
+        "{place} still gets work"
+    );
+    say(
+        began,
+        &format!(
+            "{place} taken out: last new work after {} ms",
+            stopped.as_millis()
+        ),
+    );
     cluster.change(Change::DataCentreIn(place.to_owned()));
     let back = |c: &Cluster| begun(c, place) > last;
     let Some(took) = cluster.until(STEP_MAX, back).await else {
         bail!("{place} got no work after it was brought back");
     };
-    say(began, &format!("{place} brought back: first work after {} ms", took.as_millis()));
+    say(
+        began,
+        &format!(
+            "{place} brought back: first work after {} ms",
+            took.as_millis()
+        ),
+    );
     Ok(())
 }
 
@@ -278,9 +333,15 @@
     for (host, at) in &cluster.agents {
         let books = at.engine.books();
         ensure!(books.partial == 0, "{host} served partial weights");
-        ensure!(books.mixed == 0, "{host} changed its version during an answer");
+        ensure!(
+            books.mixed == 0,
+            "{host} changed its version during an answer"
+        );
         ensure!(books.unloaded == 0, "{host} got work with nothing loaded");
-        ensure!(books.effects.values().all(|n| *n == 1), "{host} applied an effect twice");
+        ensure!(
+            books.effects.values().all(|n| *n == 1),
+            "{host} applied an effect twice"
+        );
     }
     Ok(())
 }
@@ -307,7 +368,11 @@
 
 impl std::fmt::Display for Figures {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "whole={} refused={} wrong={}", self.whole, self.refused, self.wrong)
+        write!(
+            f,
+            "whole={} refused={} wrong={}",
+            self.whole, self.refused, self.wrong
+        )
     }
 }
 
@@ -364,10 +429,19 @@
 }
 
 async fn keep(cluster: &Cluster) {
-    println!("log={} hosts={} store={}", cluster.log_address(), cluster.hosts_address(), cluster.store_address());
+    println!(
+        "log={} hosts={} store={}",
+        cluster.log_address(),
+        cluster.hosts_address(),
+        cluster.store_address()
+    );
     for (host, entry) in &cluster.entries {
         let listen = &entry.shared().settings.listen;
-        println!("entry {host} callers=http://{} admin=http://{}", cluster.http(host), listen.admin);
+        println!(
+            "entry {host} callers=http://{} admin=http://{}",
+            cluster.http(host),
+            listen.admin
+        );
     }
     println!("stop with Ctrl-C");
     let _ = tokio::signal::ctrl_c().await;
@@ -377,7 +451,8 @@
 async fn stop(cluster: &mut Cluster, began: Instant) -> Result<()> {
     let host: Box<str> = "karas-a-entry-0".into();
     for at in cluster.agents.values() {
-        at.engine.behave(|b| b.between_tokens = Duration::from_millis(20));
+        at.engine
+            .behave(|b| b.between_tokens = Duration::from_millis(20));
     }
     let caller = Caller::new(cluster.http(&host), STEP_MAX);
     let stream = tokio::spawn(async move {
@@ -395,6 +470,9 @@
     let cut = entry.close().await;
     ensure!(cut == 0, "the planned stop cut off {cut} requests");
     ok(&stream.await??)?;
-    say(began, "an entry host stopped while a stream ran through it: nothing cut off");
+    say(
+        began,
+        "an entry host stopped while a stream ran through it: nothing cut off",
+    );
     Ok(())
 }
--- a/crates/fakes/src/bundle.rs
+++ b/crates/fakes/src/bundle.rs
@@ -7,10 +7,7 @@
     },
     bytes::Bytes,
     ed25519_dalek::SigningKey,
-    jayspread_core::{
-        bundle::Bundle,
-        config,
-    },
+    jayspread_core::{bundle::Bundle, config},
     jayspread_schema::config::{
         Artifact, Bundle as Raw, Change, DataCentre, Organisation, Record, Service, Signed,
         change::Kind, record,
--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -81,7 +81,10 @@
         body: Vec<u8>,
     ) -> Result<Answer, Error> {
         let mut headers = HeaderMap::new();
-        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
         let deadline = request.deadline.map(|d| d.as_millis().to_string());
         let extra = [
             ("x-organisation", request.organisation.clone()),
@@ -144,7 +147,9 @@
         let body = serde_json::to_vec(prompt).unwrap_or_default();
         let answer = self.send(Method::POST, &path, request, body).await?;
         if answer.status == StatusCode::OK && !whole(prompt, &answer) {
-            return Err(Error::Malformed("not the whole answer to the request".into()));
+            return Err(Error::Malformed(
+                "not the whole answer to the request".into(),
+            ));
         }
         Ok(answer)
     }
@@ -169,6 +174,8 @@
         return answer.body == events(prompt, version).concat().as_bytes();
     }
     let value: Result<serde_json::Value, _> = serde_json::from_slice(&answer.body);
-    let said = value.ok().and_then(|v| Some(v.get("text")?.as_str()?.to_owned()));
+    let said = value
+        .ok()
+        .and_then(|v| Some(v.get("text")?.as_str()?.to_owned()));
     said == Some(text(prompt, version))
 }
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -18,9 +18,8 @@
     jayspread_net::cert::{self, Authority, Tls},
     jayspread_schema::{
         config::{Bundle as Raw, change::Kind as Change},
-        settings::{
-            self, Backend, Kind, Limits, Listen, MIB, Operator, Place, Spread, Timing,
-        },
+        settings::{self, Backend, Kind, Limits, Listen, MIB, Operator, Place, Spread, Timing},
+        wire::Phase,
     },
     quinn::{Runtime, TokioRuntime},
     std::{
@@ -180,7 +179,9 @@
         };
         for (data_centre, _) in cluster.plan.data_centres.clone() {
             for number in 0..cluster.plan.entries {
-                cluster.add_entry(&format!("{data_centre}-entry-{number}"), &data_centre).await?;
+                cluster
+                    .add_entry(&format!("{data_centre}-entry-{number}"), &data_centre)
+                    .await?;
             }
         }
         Ok(cluster)
@@ -214,7 +215,11 @@
     /// TLS keys of a host.
     pub fn tls(&self, host: &str) -> Result<Tls> {
         let pair = self.authority.issue(host)?;
-        Ok(cert::from_pem(&self.authority.certificate, &pair.certificate, &pair.key)?)
+        Ok(cert::from_pem(
+            &self.authority.certificate,
+            &pair.certificate,
+            &pair.key,
+        )?)
     }
 
     fn runtime(&self, region: &str) -> Arc<dyn Runtime> {
@@ -383,11 +388,14 @@
         self.change(Change::Roll(raw))
     }
 
-    /// Whether every engine of the services with weights serves the version.
+    /// Whether every engine serves the version, or another one of the same chunks.
     pub fn serves(&self, version: &str) -> bool {
-        let engines = self.agents.values().filter(|h| h.settings.backend.kind == Kind::Engine);
-        let mut engines = engines.filter(|h| h.agent.is_some());
-        engines.all(|h| h.engine.serving().as_deref() == Some(version))
+        let engines = self
+            .agents
+            .values()
+            .filter(|h| h.settings.backend.kind == Kind::Engine);
+        let mut loads = engines.filter_map(|h| Some(h.agent.as_ref()?.shared().load()));
+        loads.all(|load| load.phase() == Phase::Serving && load.serving == version)
     }
 
     /// Waits until `done`, at most for `limit`; gives the time it took.
@@ -405,7 +413,10 @@
     /// Callers' address of an entry host.
     pub fn http(&self, host: &str) -> SocketAddr {
         let settings = &self.entries[host].shared().settings;
-        settings.listen.http.expect("entry hosts have a callers' address")
+        settings
+            .listen
+            .http
+            .expect("entry hosts have a callers' address")
     }
 
     /// Callers' addresses of all entry hosts.
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -95,8 +95,7 @@
 }
 
 /// Books of one stand-in.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct Books {
     /// Loads of something that is no whole version.
     pub partial: u64,
@@ -137,8 +136,7 @@
 }
 
 /// A request to generate text.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Prompt {
     /// Prompt.
     pub prompt: String,
@@ -150,8 +148,7 @@
 }
 
 /// A request with an effect.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Effect {
     /// Name of the effect.
     pub effect: String,
@@ -373,7 +370,11 @@
 fn respond(engine: &Engine, headers: &HeaderMap, mut response: Response) -> Response {
     let foreign = engine.lock().behaviour.foreign;
     let id = headers.get(REQUEST_ID).cloned();
-    let id = if foreign { Some(HeaderValue::from_static("another")) } else { id };
+    let id = if foreign {
+        Some(HeaderValue::from_static("another"))
+    } else {
+        id
+    };
     if let Some(id) = id {
         response.headers_mut().insert(REQUEST_ID, id);
     }
@@ -396,8 +397,16 @@
         let answer = serde_json::json!({ "version": version, "text": text });
         return respond(&engine, &headers, Json(answer).into_response());
     }
-    let skip = headers.get("x-resume-at").and_then(|v| v.to_str().ok()?.parse().ok());
-    let body = stream(running, prompt, &version, behaviour.between_tokens, skip.unwrap_or(0));
+    let skip = headers
+        .get("x-resume-at")
+        .and_then(|v| v.to_str().ok()?.parse().ok());
+    let body = stream(
+        running,
+        prompt,
+        &version,
+        behaviour.between_tokens,
+        skip.unwrap_or(0),
+    );
     let kind = [(header::CONTENT_TYPE, "text/event-stream")];
     respond(&engine, &headers, (kind, body).into_response())
 }
@@ -437,7 +446,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        self.0.poll_recv(cx).map(|piece| piece.map(|p| Ok(Frame::data(p))))
+        self.0
+            .poll_recv(cx)
+            .map(|piece| piece.map(|p| Ok(Frame::data(p))))
     }
 }
 
@@ -449,7 +460,11 @@
     let running = engine.begin();
     let count = {
         let mut inner = engine.lock();
-        let count = inner.books.effects.entry(effect.effect.clone()).or_default();
+        let count = inner
+            .books
+            .effects
+            .entry(effect.effect.clone())
+            .or_default();
         *count += 1;
         *count
     };
--- a/crates/fakes/src/hosts.rs
+++ b/crates/fakes/src/hosts.rs
@@ -32,7 +32,9 @@
 impl Hosts {
     /// Serves the list over HTTP.
     pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
-        let router = Router::new().route("/hosts", get(list)).with_state(self.clone());
+        let router = Router::new()
+            .route("/hosts", get(list))
+            .with_state(self.clone());
         Server::open(address, router).await
     }
 
@@ -50,7 +52,12 @@
 
     /// Marks a host as live or leaving.
     pub fn mark(&self, host: &str, state: &str) {
-        for line in self.lock().lines.iter_mut().filter(|line| line.host == host) {
+        for line in self
+            .lock()
+            .lines
+            .iter_mut()
+            .filter(|line| line.host == host)
+        {
             state.clone_into(&mut line.state);
         }
     }
--- a/crates/fakes/src/shape.rs
+++ b/crates/fakes/src/shape.rs
@@ -146,7 +146,13 @@
     }
 
     /// Time at which a datagram arrives, or nothing when it is lost.
-    fn route(&self, from: SocketAddr, region: &str, to: SocketAddr, bytes: usize) -> Option<Instant> {
+    fn route(
+        &self,
+        from: SocketAddr,
+        region: &str,
+        to: SocketAddr,
+        bytes: usize,
+    ) -> Option<Instant> {
         let now = Instant::now();
         let target = self.place(&to);
         let other = target.filter(|target| &**target != region);
--- a/crates/net/src/cert.rs
+++ b/crates/net/src/cert.rs
@@ -3,17 +3,9 @@
 use {
     jayspread_schema::settings,
     quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig},
-    rcgen::{
-        BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair, KeyUsagePurpose,
-    },
-    rustls::{
-        RootCertStore,
-        server::WebPkiClientVerifier,
-    },
-    rustls_pki_types::{
-        CertificateDer, PrivateKeyDer, ServerName,
-        pem::PemObject,
-    },
+    rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair, KeyUsagePurpose},
+    rustls::{RootCertStore, server::WebPkiClientVerifier},
+    rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName, pem::PemObject},
     std::{any::Any, fmt, path::Path, sync::Arc},
 };
 
@@ -157,7 +149,9 @@
     pub fn create() -> Result<Self, Error> {
         let key = KeyPair::generate().map_err(|e| error("key", e))?;
         let params = authority_params()?;
-        let certificate = params.self_signed(&key).map_err(|e| error("authority", e))?;
+        let certificate = params
+            .self_signed(&key)
+            .map_err(|e| error("authority", e))?;
         let pem = key.serialize_pem();
         Ok(Self {
             certificate: certificate.pem().into(),
@@ -180,8 +174,8 @@
     /// Issues a certificate for a host.
     pub fn issue(&self, host: &str) -> Result<Pair, Error> {
         let key = KeyPair::generate().map_err(|e| error("key", e))?;
-        let params = CertificateParams::new(vec![server_name(host)])
-            .map_err(|e| error("host name", e))?;
+        let params =
+            CertificateParams::new(vec![server_name(host)]).map_err(|e| error("host name", e))?;
         let certificate = params
             .signed_by(&key, &self.issuer)
             .map_err(|e| error("certificate", e))?;
--- a/crates/net/src/frame.rs
+++ b/crates/net/src/frame.rs
@@ -66,10 +66,7 @@
 }
 
 /// Reads a message of at most `limit` bytes.
-pub async fn read<M: Message + Default>(
-    stream: &mut RecvStream,
-    limit: usize,
-) -> Result<M, Error> {
+pub async fn read<M: Message + Default>(stream: &mut RecvStream, limit: usize) -> Result<M, Error> {
     let mut prefix = [0; PREFIX];
     match stream.read_exact(&mut prefix).await {
         Ok(()) => {}
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -66,7 +66,12 @@
 
 impl Link {
     /// Starts dialling `host` at `address` and keeps the connection open.
-    pub fn open<H: Handler>(node: Node, address: SocketAddr, host: Box<str>, handler: Arc<H>) -> Self {
+    pub fn open<H: Handler>(
+        node: Node,
+        address: SocketAddr,
+        host: Box<str>,
+        handler: Arc<H>,
+    ) -> Self {
         let (sender, current) = watch::channel(None);
         let task = tokio::spawn(keep(node, address, host, handler, sender));
         Self {
@@ -137,7 +142,13 @@
                 }
             }
             Err(cause) => {
-                event!(Debug, "dial_failed", peer = host, address = address, reason = cause);
+                event!(
+                    Debug,
+                    "dial_failed",
+                    peer = host,
+                    address = address,
+                    reason = cause
+                );
                 fresh = true;
                 time::sleep(jittered(backoff)).await;
                 backoff = (backoff * 2).min(BACKOFF_MAX);
@@ -172,7 +183,12 @@
 
 /// Runs one connection until it ends.
 async fn run<H: Handler>(node: &Node, session: Session, handler: Arc<H>) -> Ending {
-    event!(Info, "connection_open", peer = session.peer.host, rtt_us = session.rtt().as_micros());
+    event!(
+        Info,
+        "connection_open",
+        peer = session.peer.host,
+        rtt_us = session.rtt().as_micros()
+    );
     handler.changed(&session, true);
     let echo = AtomicU64::new(0);
     let ending = tokio::select! {
@@ -183,7 +199,12 @@
     };
     session.end("ended");
     handler.changed(&session, false);
-    event!(Info, "connection_ended", peer = session.peer.host, ending = format!("{ending:?}"));
+    event!(
+        Info,
+        "connection_ended",
+        peer = session.peer.host,
+        ending = format!("{ending:?}")
+    );
     ending
 }
 
@@ -239,7 +260,12 @@
                     handler.answer(session, ask, writer, recv).await;
                 }
                 Err(cause) => {
-                    event!(Warn, "ask_malformed", peer = session.peer.host, reason = cause);
+                    event!(
+                        Warn,
+                        "ask_malformed",
+                        peer = session.peer.host,
+                        reason = cause
+                    );
                     handler.nonsense(&session.peer.host, "ask");
                 }
             }
--- a/crates/net/src/node.rs
+++ b/crates/net/src/node.rs
@@ -180,7 +180,12 @@
     }
 
     /// Dials `host` at `address`, from a new local port when `fresh`.
-    pub async fn dial(&self, address: SocketAddr, host: &str, fresh: bool) -> Result<Session, Error> {
+    pub async fn dial(
+        &self,
+        address: SocketAddr,
+        host: &str,
+        fresh: bool,
+    ) -> Result<Session, Error> {
         let own = if fresh {
             let local = SocketAddr::new(self.address()?.ip(), 0);
             Some(open(local, None, &self.runtime)?)
@@ -209,7 +214,10 @@
         let _ = time::timeout(self.timing.call, self.endpoint.wait_idle()).await;
     }
 
-    async fn in_time<T>(&self, exchange: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+    async fn in_time<T>(
+        &self,
+        exchange: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
         match time::timeout(self.timing.silent, exchange).await {
             Ok(done) => done,
             Err(_) => Err(Error::Handshake("timed out".into())),
@@ -226,7 +234,9 @@
             return Err(Error::Name(peer.host.into()));
         }
         let mut writer = Writer::new(send);
-        writer.write(reply::Kind::Hello(self.identity.hello())).await?;
+        writer
+            .write(reply::Kind::Hello(self.identity.hello()))
+            .await?;
         writer.close();
         Ok(Session::new(connection, peer, None))
     }
@@ -249,7 +259,10 @@
         return Err(Error::Protocol(peer.protocol));
     }
     let names = [&peer.host, &peer.data_centre, &peer.region];
-    if names.iter().any(|name| name.is_empty() || name.len() > NAME_MAX) {
+    if names
+        .iter()
+        .any(|name| name.is_empty() || name.len() > NAME_MAX)
+    {
         return Err(Error::Name("".into()));
     }
     Ok(())
--- a/crates/net/src/session.rs
+++ b/crates/net/src/session.rs
@@ -133,7 +133,7 @@
     /// Reads the next answer frame.
     pub async fn next(&mut self) -> Result<reply::Kind, Error> {
         let reply: Reply = frame::read(&mut self.0, REPLY_MAX).await?;
-            reply.kind.ok_or(Error::Empty)
+        reply.kind.ok_or(Error::Empty)
     }
 
     /// Reads raw bytes that an answer frame announced.
--- a/crates/schema/examples/generate.rs
+++ b/crates/schema/examples/generate.rs
@@ -17,7 +17,10 @@
         .btree_map(["."])
         .bytes(["."])
         .type_attribute(".jayspread.settings", SERDE)
-        .type_attribute(".jayspread.settings", "#[serde(deny_unknown_fields, default)]")
+        .type_attribute(
+            ".jayspread.settings",
+            "#[serde(deny_unknown_fields, default)]",
+        )
         .out_dir(root.join("src/generated"))
         .compile_fds(descriptors)?;
     Ok(())
--- a/crates/schema/src/settings.rs
+++ b/crates/schema/src/settings.rs
@@ -268,7 +268,8 @@
     })
 }
 
-fn decode<T: serde::de::DeserializeOwned>(text: &str, path: &Path) -> Result<T, Error> {
+/// Decodes JSON with comments; an error names the file and the path of the field.
+pub fn decode<T: serde::de::DeserializeOwned>(text: &str, path: &Path) -> Result<T, Error> {
     let fail = |field: String, reason: String| Error {
         file: path.display().to_string().into(),
         field: field.into(),
@@ -326,7 +327,13 @@
         Ok(address)
     }
 
-    fn range(&self, field: &str, value: u64, default: u64, range: (u64, u64)) -> Result<u64, Error> {
+    fn range(
+        &self,
+        field: &str,
+        value: u64,
+        default: u64,
+        range: (u64, u64),
+    ) -> Result<u64, Error> {
         let value = if value == 0 { default } else { value };
         if value < range.0 {
             return Err(self.error(field, format!("must be at least {}", range.0)));
@@ -337,7 +344,13 @@
         Ok(value)
     }
 
-    fn millis(&self, field: &str, value: u32, default: u64, range: (u64, u64)) -> Result<Duration, Error> {
+    fn millis(
+        &self,
+        field: &str,
+        value: u32,
+        default: u64,
+        range: (u64, u64),
+    ) -> Result<Duration, Error> {
         let value = self.range(field, value.into(), default, range)?;
         Ok(Duration::from_millis(value))
     }
@@ -461,8 +474,12 @@
                 return Err(self.error("backend.kind", reason));
             }
         };
-        let concurrency =
-            self.range("backend.concurrency", raw.concurrency.into(), 16, (1, 65_536))?;
+        let concurrency = self.range(
+            "backend.concurrency",
+            raw.concurrency.into(),
+            16,
+            (1, 65_536),
+        )?;
         let cold = self.range(
             "backend.cold_concurrency",
             raw.cold_concurrency.into(),
@@ -481,8 +498,12 @@
     }
 
     fn spread(&self, raw: &raw::Spread) -> Result<Spread, Error> {
-        let memory =
-            self.range("spread.memory_bytes", raw.memory_bytes, 256 * MIB, (MIB, 1 << 40))?;
+        let memory = self.range(
+            "spread.memory_bytes",
+            raw.memory_bytes,
+            256 * MIB,
+            (MIB, 1 << 40),
+        )?;
         let uploads = self.range("spread.uploads", raw.uploads.into(), 16, (1, 1024))?;
         let downloads = self.range("spread.downloads", raw.downloads.into(), 32, (1, 1024))?;
         Ok(Spread {
