--- a/crates/agent/src/chunks.rs
+++ b/crates/agent/src/chunks.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     jayspread_core::{
-        chunk::Quota,
+        chunk::{Policy, Quota},
         id::{ChunkHash, Version},
     },
     std::{
@@ -40,13 +40,15 @@
     /// Chunks that peers asked this host to obtain in place of their leader.
     promoted: BTreeSet<ChunkHash>,
     evicted: u64,
+    policy: Policy,
 }
 
 impl Chunks {
-    /// Creates an empty store of at most `bound` bytes.
-    pub fn new(bound: usize) -> Self {
+    /// Creates an empty store of at most `bound` bytes; only trading has an upload quota.
+    pub fn new(bound: usize, policy: Policy) -> Self {
         Self {
             bound,
+            policy,
             bytes: 0,
             held: BTreeMap::new(),
             led: BTreeSet::new(),
@@ -74,7 +76,10 @@
         self.exchange = Some(Exchange {
             version: version.into(),
             wanted,
-            quota: Quota::new(size, largest),
+            quota: match self.policy {
+                Policy::Trade => Quota::new(size, largest),
+                Policy::Seeder => Quota::unlimited(size),
+            },
             since: now,
         });
     }
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -25,8 +25,10 @@
     tokio::{sync::Semaphore, task::JoinSet, time},
 };
 
-/// Chunks fetched at once from outside the data centre.
-const OUTSIDE: usize = 2;
+/// Chunks fetched at once from the origin.
+const FROM_ORIGIN: usize = 2;
+/// Chunks waited for or fetched at once from other data centres.
+const FROM_AFAR: usize = 8;
 /// Chunks staged at once.
 const STAGING: usize = 4;
 /// Delay before the sources of a chunk are tried again from the first.
@@ -54,7 +56,8 @@
     /// Chunks that the engine holds in the version that it serves.
     present: BTreeMap<ChunkHash, Place>,
     plan: Mutex<BTreeMap<ChunkHash, Step>>,
-    outside: Semaphore,
+    origin: Semaphore,
+    afar: Semaphore,
     inside: Semaphore,
     staging: Semaphore,
 }
@@ -77,7 +80,8 @@
             places,
             present,
             plan: Mutex::default(),
-            outside: Semaphore::new(OUTSIDE),
+            origin: Semaphore::new(FROM_ORIGIN),
+            afar: Semaphore::new(FROM_AFAR),
             inside: Semaphore::new(shared.settings.spread.downloads),
             staging: Semaphore::new(STAGING),
             shared: Arc::clone(shared),
@@ -99,9 +103,23 @@
             region: place.region.clone(),
         };
         let pieces = self.bundle.pieces(self.shared.service());
-        let plan = Plan::new(&me, &self.peers(), &pieces, &self.bundle.origin_region);
+        let plan = Plan::new(
+            self.shared.policy,
+            &me,
+            &self.peers(),
+            &pieces,
+            &self.bundle.origin_region,
+        );
         let by_hash = plan.steps.iter().map(|step| (step.hash, step.clone()));
-        *lock(&self.plan) = by_hash.collect();
+        let mut by_hash: BTreeMap<ChunkHash, Step> = by_hash.collect();
+        let mut current = lock(&self.plan);
+        for (hash, step) in &mut by_hash {
+            if let Some(before) = current.get(hash) {
+                ask_former(step, before);
+            }
+        }
+        *current = by_hash;
+        drop(current);
         plan.steps
     }
 
@@ -266,8 +284,11 @@
     }
 
     async fn try_source(&self, step: &Step, source: &Source, acquire: bool) -> Result<Bytes, Miss> {
-        let inside = step.duty == Duty::Member && *source != Source::Origin;
-        let gate = if inside { &self.inside } else { &self.outside };
+        let gate = match source {
+            Source::Origin => &self.origin,
+            Source::Peer(_) if step.duty == Duty::Member => &self.inside,
+            Source::Peer(_) => &self.afar,
+        };
         let Ok(_permit) = gate.acquire().await else {
             return Err(Miss::Failed("stopped"));
         };
@@ -334,10 +355,12 @@
             .session(&self.shared, host, address, takeover)
             .await;
         let session = session.ok_or(Miss::Failed("unreachable"))?;
+        let former = step.duty != Duty::Member && self.near(host) && step.duty != Duty::DataCentre;
+        let wait = if former { Duration::ZERO } else { takeover };
         let fetch = Fetch {
             version: self.bundle.version.to_string(),
             hash: Bytes::copy_from_slice(&step.hash),
-            wait_ms: takeover.as_millis() as u32,
+            wait_ms: wait.as_millis() as u32,
             acquire,
         };
         let exchange = async {
@@ -362,7 +385,9 @@
                     .inc_by(bytes.len() as u64);
                 Ok(bytes)
             }
-            Ok(Some(Err(reply::Kind::NoChunk(none)))) if none.pending => Err(Miss::Pending),
+            Ok(Some(Err(reply::Kind::NoChunk(none)))) if none.pending && !former => {
+                Err(Miss::Pending)
+            }
             Ok(Some(Err(reply::Kind::NoChunk(none)))) if none.missing => {
                 Err(Miss::Failed("missing"))
             }
@@ -378,6 +403,17 @@
     }
 }
 
+/// Has a new leader ask the former one first, which may hold the chunk already.
+fn ask_former(step: &mut Step, before: &Step) {
+    let Some(former) = before.sources.first() else {
+        return;
+    };
+    if step.duty != Duty::Member && before.duty == Duty::Member && *former != Source::Origin {
+        step.sources.retain(|source| source != former);
+        step.sources.insert(0, former.clone());
+    }
+}
+
 /// Chunks that this host passes on to others.
 fn led(steps: &[Step]) -> BTreeSet<ChunkHash> {
     let leads = steps.iter().filter(|step| step.duty != Duty::Member);
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -4,6 +4,7 @@
     clap::Parser,
     eyre::{Result, WrapErr},
     jayspread_agent::{Process, args::Args},
+    jayspread_core::chunk::Policy,
     jayspread_net::{
         admin::View,
         cert,
@@ -50,7 +51,8 @@
 
 async fn run(settings: settings::Agent, tls: cert::Tls) -> Result<()> {
     let mut signals = Signals::install().wrap_err("could not install signal handlers")?;
-    let process = Process::open(settings, &tls, Arc::new(quinn::TokioRuntime))
+    let runtime = Arc::new(quinn::TokioRuntime);
+    let process = Process::open(settings, &tls, runtime, Policy::Trade)
         .await
         .wrap_err("could not start")?;
     while signals.next().await == Wish::Dump {
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -9,6 +9,7 @@
         store::{self, Store},
         work,
     },
+    jayspread_core::chunk::Policy,
     jayspread_net::{
         admin::Admin,
         cert::Tls,
@@ -63,6 +64,7 @@
         settings: Settings,
         tls: &Tls,
         runtime: Arc<dyn Runtime>,
+        policy: Policy,
     ) -> Result<Self, Error> {
         let timing = settings.timing;
         let identity = Identity::new(settings.place.clone(), Role::Agent);
@@ -75,7 +77,7 @@
             Arc::new(client) as Arc<dyn Store>
         });
         let admin = settings.listen.admin;
-        let shared = Shared::new(settings, node.clone(), engine, store);
+        let shared = Shared::new(settings, node.clone(), engine, store, policy);
         let registry = shared.metrics.registry();
         let admin = Admin::open(admin, Arc::clone(&shared), registry)
             .await
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -14,6 +14,7 @@
     },
     jayspread_core::{
         admit::{Table, Turn},
+        chunk,
         config::{Fold, State},
         id::{Host, Request, Service},
         load::{self, Loader, Machine},
@@ -38,6 +39,9 @@
 /// Order deadlines after which an order that was sent can have no effect any more.
 const SETTLE_CALLS: u32 = 3;
 
+/// Uploads to other regions that one host runs at once.
+const FAR_UPLOADS: usize = 1;
+
 /// Configuration and the hosts that take part.
 pub struct Config {
     /// Fold of the accepted changes.
@@ -76,6 +80,10 @@
     pub peers: Peers,
     /// Uploads that may run at once.
     pub uploads: Semaphore,
+    /// Uploads to other regions that may run at once.
+    pub far_uploads: Semaphore,
+    /// How versions are distributed.
+    pub policy: chunk::Policy,
     /// Metrics.
     pub metrics: Metrics,
     /// Wakes the control task.
@@ -101,6 +109,7 @@
         node: Node,
         engine: Arc<dyn Engine>,
         store: Option<Arc<dyn Store>>,
+        policy: chunk::Policy,
     ) -> Arc<Self> {
         let backend = &settings.backend;
         let ramp = Ramp::new(
@@ -123,9 +132,11 @@
             admit: Mutex::new(Table::new(node.identity.incarnation, ramp)),
             jobs: Mutex::default(),
             answers: Mutex::default(),
-            chunks: Mutex::new(Chunks::new(settings.spread.memory_bytes)),
+            chunks: Mutex::new(Chunks::new(settings.spread.memory_bytes, policy)),
             peers: Peers::default(),
             uploads: Semaphore::new(settings.spread.uploads),
+            far_uploads: Semaphore::new(FAR_UPLOADS),
+            policy,
             metrics: Metrics::default(),
             wake: Notify::new(),
             arrived: Notify::new(),
--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -74,7 +74,13 @@
 
 /// Sends a chunk within the upload quota.
 async fn send(shared: &Shared, session: &Session, fetch: &Fetch, bytes: Bytes, mut writer: Writer) {
-    let Ok(permit) = shared.uploads.acquire().await else {
+    let far = session.peer.region != *shared.settings.place.region;
+    let gate = if far {
+        &shared.far_uploads
+    } else {
+        &shared.uploads
+    };
+    let Ok(permit) = gate.acquire().await else {
         return;
     };
     let length = bytes.len() as u32;
@@ -91,11 +97,11 @@
     let counted = if begun { length } else { 0 };
     lock(&shared.chunks).settle(&fetch.version, length, counted);
     shared.metrics.bytes_sent.inc_by(counted.into());
-    if session.peer.region != *shared.settings.place.region {
+    if far {
         shared.metrics.bytes_sent_far.inc_by(counted.into());
     }
     if sent {
-        writer.close();
+        let _ = time::timeout(WAIT_MAX, writer.delivered()).await;
     }
     drop(permit);
 }
--- a/crates/core/src/chunk.rs
+++ b/crates/core/src/chunk.rs
@@ -64,6 +64,17 @@
     pub sources: Vec<Source>,
 }
 
+/// Ways to distribute a version, for comparison by measurement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Policy {
+    /// Chunks leave the origin's region once and are traded between the others; uploads inside a
+    /// data centre are spread over all hosts.
+    #[default]
+    Trade,
+    /// Each data centre takes a copy from the origin; its hosts take it from one seeder.
+    Seeder,
+}
+
 /// Plan of one host for one version.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Plan {
@@ -72,85 +83,104 @@
 }
 
 /// Leaders of all chunks in one group of hosts.
+///
+/// Chunks are ordered by their hashes and hosts by theirs; equal stretches of the one order fall
+/// to the hosts of the other. Two groups thus match with few pairs of hosts, so that few
+/// connections cross the links between regions, and each host leads equally many chunks.
 struct Group {
-    /// Indices into the group's members, by chunk.
-    leaders: Vec<Vec<u32>>,
     members: Vec<Host>,
 }
 
 impl Group {
-    /// Spreads chunks evenly over members, moving few of them when a member comes or goes.
-    fn new(seed: &[u8], chunks: &[ChunkHash], members: BTreeSet<Host>) -> Self {
-        let members: Vec<Host> = members.into_iter().collect();
-        let mut room = vec![chunks.len().div_ceil(members.len().max(1)); members.len()];
-        let leaders = chunks
-            .iter()
-            .map(|chunk| lead(seed, chunk, &members, &mut room))
-            .collect();
-        Self { leaders, members }
+    fn new(members: BTreeSet<Host>) -> Self {
+        let mut members: Vec<Host> = members.into_iter().collect();
+        members.sort_by_cached_key(|host| id::score(b"leader", host));
+        Self { members }
     }
 
-    fn candidates(&self, chunk: usize) -> impl Iterator<Item = &Host> {
-        let order = &self.leaders[chunk];
-        order.iter().map(|index| &self.members[*index as usize])
+    /// Leaders of a chunk in the order to try them; a dead one's chunks fall to all others.
+    fn candidates(&self, chunk: &Ranked) -> Vec<&Host> {
+        let count = self.members.len();
+        if count == 0 {
+            return Vec::new();
+        }
+        let first = chunk.position * count / chunk.of;
+        let step = 1 + chunk.spread % count.max(2).saturating_sub(1);
+        let indices = (0..CANDIDATES.min(count)).scan(first, |index, turn| {
+            let found = *index;
+            *index = (first + step + turn) % count;
+            Some(found)
+        });
+        let mut candidates: Vec<&Host> = Vec::new();
+        for index in indices {
+            let host = &self.members[index];
+            if !candidates.contains(&host) {
+                candidates.push(host);
+            }
+        }
+        candidates
     }
 
-    fn leader(&self, chunk: usize) -> Option<&Host> {
-        self.candidates(chunk).next()
+    fn leader(&self, chunk: &Ranked) -> Option<&Host> {
+        self.candidates(chunk).into_iter().next()
     }
 }
 
-/// Order of the first few leaders of a chunk; the first one with room leads.
-fn lead(seed: &[u8], chunk: &ChunkHash, members: &[Host], room: &mut [usize]) -> Vec<u32> {
-    let subject = [seed, chunk].concat();
-    let mut order: Vec<(u64, u32)> = members
-        .iter()
-        .enumerate()
-        .map(|(index, host)| (id::score(&subject, host), index as u32))
-        .collect();
-    order.sort_unstable_by(|a, b| b.cmp(a));
-    let first = order
-        .iter()
-        .position(|(_, index)| room[*index as usize] > 0);
-    if let Some(first) = first {
-        let chosen = order.remove(first);
-        room[chosen.1 as usize] -= 1;
-        order.insert(0, chosen);
+/// Place of a chunk in the order by hash.
+#[derive(Debug, Clone, Copy)]
+struct Ranked {
+    position: usize,
+    of: usize,
+    /// Number that spreads a dead leader's chunks.
+    spread: usize,
+}
+
+fn rank(chunks: &[ChunkHash]) -> Vec<Ranked> {
+    let mut order: Vec<usize> = (0..chunks.len()).collect();
+    order.sort_unstable_by_key(|index| chunks[*index]);
+    let mut ranked = vec![None; chunks.len()];
+    for (position, index) in order.into_iter().enumerate() {
+        let hash = &chunks[index];
+        ranked[index] = Some(Ranked {
+            position,
+            of: chunks.len(),
+            spread: usize::from(hash[30]) << 8 | usize::from(hash[31]),
+        });
     }
-    order.truncate(CANDIDATES);
-    order.into_iter().map(|(_, index)| index).collect()
+    ranked.into_iter().flatten().collect()
 }
 
-/// Regions that take part, and the one that each chunk enters first.
+/// Regions that take part.
 struct Regions {
     origin: Region,
     remote: Vec<Region>,
-    entrances: Vec<u32>,
 }
 
 impl Regions {
-    fn new(chunks: &[ChunkHash], peers: &BTreeSet<Peer>, origin: &str) -> Self {
-        let all: BTreeSet<Host> = peers.iter().map(|peer| peer.region.clone()).collect();
-        let remote: BTreeSet<Host> = all.into_iter().filter(|r| &**r != origin).collect();
-        let group = Group::new(b"entrance", chunks, remote);
-        let entrances = group.leaders.iter();
-        let entrances = entrances.map(|order| order.first().copied().unwrap_or(0));
+    fn new(peers: &BTreeSet<Peer>, origin: &str) -> Self {
+        let all: BTreeSet<Region> = peers.iter().map(|peer| peer.region.clone()).collect();
         Self {
             origin: origin.into(),
-            entrances: entrances.collect(),
-            remote: group.members,
+            remote: all.into_iter().filter(|r| &**r != origin).collect(),
         }
     }
 
     /// Region that receives the chunk from the origin's region, if there is a remote one.
     fn entrance(&self, chunk: usize) -> Option<&Region> {
-        self.remote.get(self.entrances[chunk] as usize)
+        let count = self.remote.len().max(1);
+        self.remote.get(chunk % count)
     }
 }
 
 impl Plan {
     /// Plans for `me` how to obtain `pieces` together with `peers`, which include `me`.
-    pub fn new(me: &Peer, peers: &BTreeSet<Peer>, pieces: &[Piece], origin_region: &str) -> Self {
+    pub fn new(
+        policy: Policy,
+        me: &Peer,
+        peers: &BTreeSet<Peer>,
+        pieces: &[Piece],
+        origin_region: &str,
+    ) -> Self {
         let mut lengths: BTreeMap<ChunkHash, u32> = BTreeMap::new();
         let mut chunks = Vec::new();
         for piece in pieces {
@@ -160,6 +190,9 @@
         }
         let mut peers = peers.clone();
         peers.insert(me.clone());
+        if policy == Policy::Seeder {
+            return Self::from_seeder(me, &peers, &chunks, &lengths);
+        }
         let survey = Survey::new(me, &peers, &chunks, origin_region);
         let mut steps: Vec<(Rank, Step)> = chunks
             .iter()
@@ -172,6 +205,31 @@
     }
 }
 
+impl Plan {
+    fn from_seeder(
+        me: &Peer,
+        peers: &BTreeSet<Peer>,
+        chunks: &[ChunkHash],
+        lengths: &BTreeMap<ChunkHash, u32>,
+    ) -> Self {
+        let near = |peer: &&Peer| peer.data_centre == me.data_centre;
+        let seeder = peers.iter().find(near).map(|peer| &peer.host);
+        let (duty, source) = match seeder {
+            Some(seeder) if *seeder != me.host => (Duty::Member, Source::Peer(seeder.clone())),
+            _ => (Duty::Origin, Source::Origin),
+        };
+        let steps = chunks.iter().map(|hash| Step {
+            hash: *hash,
+            length: lengths[hash],
+            duty,
+            sources: vec![source.clone()],
+        });
+        Self {
+            steps: steps.collect(),
+        }
+    }
+}
+
 /// Place of a chunk in the fetch order: chunks that enter through the own region go first.
 type Rank = (bool, usize);
 
@@ -179,6 +237,7 @@
 struct Survey<'a> {
     me: &'a Peer,
     regions: Regions,
+    ranked: Vec<Ranked>,
     /// Leaders over each region's hosts.
     by_region: BTreeMap<Region, Group>,
     /// Leaders over the hosts of the own data centre.
@@ -196,20 +255,23 @@
             .iter()
             .filter(|peer| peer.data_centre == me.data_centre)
             .map(|peer| peer.host.clone());
+        let own = Group::new(own.collect());
         let by_region = hosts
             .into_iter()
-            .map(|(region, hosts)| (region, Group::new(b"leader", chunks, hosts)));
+            .map(|(region, hosts)| (region, Group::new(hosts)));
         Self {
             me,
-            regions: Regions::new(chunks, peers, origin),
+            regions: Regions::new(peers, origin),
+            ranked: rank(chunks),
             by_region: by_region.collect(),
-            own: Group::new(b"leader", chunks, own.collect()),
+            own,
         }
     }
 
-    fn step(&self, chunk: usize, hash: &ChunkHash, length: u32) -> (Rank, Step) {
+    fn step(&self, index: usize, hash: &ChunkHash, length: u32) -> (Rank, Step) {
+        let chunk = &self.ranked[index];
         let region = &self.me.region;
-        let entrance = self.regions.entrance(chunk);
+        let entrance = self.regions.entrance(index);
         let from_origin = *region == self.regions.origin || entrance == Some(region);
         let outside = match entrance {
             Some(entrance) if !from_origin => self.by_region.get(entrance),
@@ -238,17 +300,17 @@
             self.add(&mut sources, outside, chunk);
         }
         sources.push(Source::Origin);
-        let first = *region != self.regions.origin && !from_origin;
+        let later = *region != self.regions.origin && !from_origin;
         let step = Step {
             hash: *hash,
             length,
             duty,
             sources,
         };
-        ((first, chunk), step)
+        ((later, index), step)
     }
 
-    fn add(&self, sources: &mut Vec<Source>, group: &Group, chunk: usize) {
+    fn add(&self, sources: &mut Vec<Source>, group: &Group, chunk: &Ranked) {
         for host in group.candidates(chunk) {
             let source = Source::Peer(host.clone());
             if *host != self.me.host && !sources.contains(&source) {
@@ -287,6 +349,14 @@
         }
     }
 
+    /// Creates a quota without a limit, which only counts.
+    pub fn unlimited(size: u64) -> Self {
+        Self {
+            allowance: u64::MAX / 2,
+            ..Self::new(size, 0)
+        }
+    }
+
     /// Reserves bytes for one upload, `elapsed` after the version was adopted.
     pub fn reserve(&mut self, bytes: u32, elapsed: Duration) -> bool {
         let grown = self.size as u128 * elapsed.as_millis() / QUOTA_REFILL.as_millis();
--- /dev/null
+++ b/crates/fakes/examples/measure/main.rs
@@ -0,0 +1,50 @@
+//! Measurements of jayspread on one machine, each with its baseline in the same run.
+//!
+//! Each scenario prints lines of key=value pairs, the last one starting with `result`.
+
+mod rollout;
+mod sample;
+
+use {
+    clap::{Parser, Subcommand},
+    eyre::Result,
+    jayspread_net::telemetry,
+    std::process::ExitCode,
+};
+
+/// Measures jayspread on one machine.
+#[derive(Debug, Parser)]
+struct Cli {
+    /// Log level of the processes.
+    #[arg(long, default_value = "error", global = true)]
+    log_level: String,
+    /// What to measure.
+    #[command(subcommand)]
+    scenario: Scenario,
+}
+
+/// Scenarios.
+#[derive(Debug, Subcommand)]
+enum Scenario {
+    /// Time to N replicas and bytes over each link.
+    Rollout(rollout::Rollout),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let cli = Cli::parse();
+    telemetry::start(&cli.log_level);
+    match run(&cli.scenario).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => {
+            println!("failed {cause:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(scenario: &Scenario) -> Result<()> {
+    match scenario {
+        Scenario::Rollout(rollout) => rollout.run().await,
+    }
+}
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -13,7 +13,7 @@
     ed25519_dalek::SigningKey,
     eyre::{Result, WrapErr},
     jayspread_agent::Process as Agent,
-    jayspread_core::route::Policy,
+    jayspread_core::{chunk, route},
     jayspread_entry::{Process as Entry, hosts::Line},
     jayspread_net::cert::{self, Authority, Tls},
     jayspread_schema::{
@@ -63,7 +63,9 @@
     /// Uplink of the origin, bytes a second.
     pub origin: f64,
     /// How entry hosts choose.
-    pub policy: Policy,
+    pub policy: route::Policy,
+    /// How agents distribute versions.
+    pub spreading: chunk::Policy,
     /// Seed of the stand-ins' faults.
     pub seed: u64,
 }
@@ -100,7 +102,8 @@
             },
             thin: None,
             origin: 125_000_000.0,
-            policy: Policy::TwoChoices,
+            policy: route::Policy::TwoChoices,
+            spreading: chunk::Policy::Trade,
             seed: 1,
         }
     }
@@ -353,7 +356,7 @@
         let runtime = self.runtime(&settings.place.region);
         let service = settings.backend.service.clone();
         self.list(&settings.place, "agent", settings.listen.peer, &service);
-        let agent = Agent::open(settings, &tls, runtime)
+        let agent = Agent::open(settings, &tls, runtime, self.plan.spreading)
             .await
             .wrap_err("could not start an agent")?;
         self.agents.get_mut(host).expect("host is known").agent = Some(agent);
