Random walks through the core, and the faults that they found

cause: the at-most-once, fencing and configuration rules were asserted nowhere under faults. change: walks over attempts, load orders and revisions with every safeguard switchable; tables of single decisions.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -173,6 +173,7 @@
         Want {
             version: bundle.version.clone(),
             fence,
+            pieces: bundle.pieces(service).len(),
             same: same.map(|b| b.version.clone()).collect(),
         }
     }
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -98,6 +98,8 @@
     pub version: String,
     /// Fencing number.
     pub fence: Revision,
+    /// Pieces that must be staged, no more and no fewer.
+    pub pieces: usize,
 }
 
 /// Backend server met over HTTP.
@@ -164,6 +166,7 @@
             let order = Order {
                 version: want.version.into(),
                 fence: want.fence,
+                pieces: want.pieces,
             };
             let call = self.control.post_json("/orders/load", &order, STATE_MAX);
             call.await.map(|_| ())
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -26,7 +26,7 @@
 };
 
 /// Chunks fetched at once from the origin.
-const FROM_ORIGIN: usize = 2;
+const FROM_ORIGIN: usize = 1;
 /// Chunks waited for or fetched at once from other data centres.
 const FROM_AFAR: usize = 8;
 /// Chunks staged at once.
@@ -149,10 +149,8 @@
     /// Fetches and stages everything; ends when the version is complete.
     pub async fn run(self: Arc<Self>) {
         let began = clock::now();
-        let steps: Vec<Step> = {
-            let plan = self.replan();
-            plan.into_iter().collect()
-        };
+        let steps = self.replan();
+        self.dial_far(&steps);
         let mut tasks = JoinSet::new();
         for step in steps {
             let job = Arc::clone(&self);
@@ -176,6 +174,21 @@
         self.shared.wake.notify_one();
     }
 
+    /// Opens the connections to other regions before chunks fill the links.
+    fn dial_far(&self, steps: &[Step]) {
+        let regional = steps.iter().filter(|step| step.duty == Duty::Region);
+        let first = regional.filter_map(|step| step.sources.first());
+        let hosts: BTreeSet<&Source> = first.collect();
+        for source in hosts {
+            let Source::Peer(host) = source else {
+                continue;
+            };
+            if let Some(address) = self.address(host) {
+                self.shared.peers.link(&self.shared, host, address);
+            }
+        }
+    }
+
     /// Obtains and stages one chunk.
     async fn obtain(&self, step: Step) {
         if !self.copy(&step.hash).await {
@@ -246,6 +259,9 @@
             if self.skips(step, source) {
                 continue;
             }
+            let Ok(_permit) = self.gate(step, source).acquire().await else {
+                return None;
+            };
             loop {
                 match self.try_source(step, source, index > 0).await {
                     Ok(bytes) => return Some(bytes),
@@ -265,6 +281,16 @@
         None
     }
 
+    /// Permits for asking a source. One is kept while the chunk is on its way there, so that chunks
+    /// are waited for in the plan's order.
+    fn gate(&self, step: &Step, source: &Source) -> &Semaphore {
+        match source {
+            Source::Origin => &self.origin,
+            Source::Peer(_) if step.duty == Duty::Member => &self.inside,
+            Source::Peer(_) => &self.afar,
+        }
+    }
+
     /// Whether a source is passed over: it is shunned, or this host acts in its place.
     fn skips(&self, step: &Step, source: &Source) -> bool {
         let Source::Peer(host) = source else {
@@ -284,14 +310,6 @@
     }
 
     async fn try_source(&self, step: &Step, source: &Source, acquire: bool) -> Result<Bytes, Miss> {
-        let gate = match source {
-            Source::Origin => &self.origin,
-            Source::Peer(_) if step.duty == Duty::Member => &self.inside,
-            Source::Peer(_) => &self.afar,
-        };
-        let Ok(_permit) = gate.acquire().await else {
-            return Err(Miss::Failed("stopped"));
-        };
         if let Some(bytes) = lock(&self.shared.chunks).get(&step.hash) {
             return Ok(bytes);
         }
--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -123,9 +123,7 @@
         match ask {
             ask::Kind::Submit(submit) if entry => work::submit(shared, submit, writer).await,
             ask::Kind::Recall(recall) if entry => work::recall(shared, recall, writer).await,
-            ask::Kind::Cancel(cancel) if entry => {
-                work::cancel(shared, cancel.request.into(), writer).await;
-            }
+            ask::Kind::Cancel(cancel) if entry => work::cancel(shared, cancel, writer).await,
             ask::Kind::Ack(ack) if entry => work::acknowledge(shared, &ack.request.into()),
             ask::Kind::Fetch(fetch) => upload::answer(shared, &session, fetch, writer).await,
             ask::Kind::Pull(pull) => {
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -57,7 +57,8 @@
         }
     }
 
-    fn link(&self, shared: &Arc<Shared>, host: &Host, address: SocketAddr) -> Arc<Link> {
+    /// Connection to `host`, which opens in the background when it is new.
+    pub fn link(&self, shared: &Arc<Shared>, host: &Host, address: SocketAddr) -> Arc<Link> {
         let mut open = lock(&self.open);
         let now = clock::now();
         if let Some(peer) = open.get_mut(host)
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -40,7 +40,7 @@
 const SETTLE_CALLS: u32 = 3;
 
 /// Uploads to other regions that one host runs at once.
-const FAR_UPLOADS: usize = 1;
+const FAR_UPLOADS: usize = 2;
 
 /// Configuration and the hosts that take part.
 pub struct Config {
--- a/crates/agent/src/work.rs
+++ b/crates/agent/src/work.rs
@@ -265,20 +265,25 @@
 }
 
 /// Sends an answer again from an offset on.
-pub async fn recall(shared: &Arc<Shared>, recall: wire::Recall, mut writer: Writer) {
+pub async fn recall(shared: &Arc<Shared>, recall: wire::Recall, writer: Writer) {
     let request: Request = recall.request.as_str().into();
     shared.metrics.recalled.inc();
+    if recall.incarnation != shared.node.identity.incarnation {
+        return refuse(shared, writer, Refusal::Incarnation).await;
+    }
     let answer = lock(&shared.answers).get(&request).cloned();
     let Some(answer) = answer else {
-        let _ = writer.write(not_started(Refusal::UnknownRequest)).await;
-        writer.close();
-        return;
+        return refuse(shared, writer, Refusal::UnknownRequest).await;
     };
     follow(&answer, Position::at(recall.offset), &request, writer).await;
 }
 
 /// Forbids an attempt from starting, or says that it is known.
-pub async fn cancel(shared: &Arc<Shared>, request: Request, mut writer: Writer) {
+pub async fn cancel(shared: &Arc<Shared>, cancel: wire::Cancel, mut writer: Writer) {
+    if cancel.incarnation != shared.node.identity.incarnation {
+        return refuse(shared, writer, Refusal::Incarnation).await;
+    }
+    let request: Request = cancel.request.into();
     let forbidden = lock(&shared.admit).cancel(&request, clock::now());
     let kind = if forbidden {
         lock(&shared.jobs).remove(&request);
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        claim,
         id::{Incarnation, Request},
         ramp::Ramp,
     },
@@ -17,8 +18,10 @@
     },
 };
 
-/// Time for which tombstones and acknowledged attempts are remembered.
-pub const REMEMBERED: Duration = Duration::from_secs(600);
+/// Time for which tombstones and acknowledged attempts are remembered; longer than any claim that
+/// may lead to a question about an attempt.
+pub const REMEMBERED: Duration = Duration::from_secs(3600);
+const _: () = assert!(REMEMBERED.as_secs() >= 2 * claim::WINDOW.as_secs() + 600);
 /// Time for which a finished answer waits for its acknowledgement.
 pub const KEPT: Duration = Duration::from_secs(60);
 /// Attempts that may wait, as a share of the limit, percent.
@@ -179,8 +182,19 @@
         self.refuse_waiting(Refusal::Leaving, now)
     }
 
+    /// Life of the agent that the table belongs to.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// Decides on an attempt.
+    ///
+    /// An attempt meant for another life of the agent may have started there: its refusal proves
+    /// nothing and leaves no tombstone.
     pub fn submit(&mut self, attempt: &Attempt, now: Instant) -> Verdict {
+        if attempt.incarnation != self.incarnation {
+            return Verdict::Refuse(Refusal::Incarnation);
+        }
         if let Some(entry) = self.entries.get(&attempt.request) {
             return match entry.phase {
                 Phase::Tombstone => Verdict::Refuse(Refusal::Tombstone),
@@ -305,9 +319,6 @@
     }
 
     fn obstacle(&self, attempt: &Attempt, now: Instant) -> Option<Refusal> {
-        if attempt.incarnation != self.incarnation {
-            return Some(Refusal::Incarnation);
-        }
         if self.leaving {
             return Some(Refusal::Leaving);
         }
--- a/crates/core/src/chunk.rs
+++ b/crates/core/src/chunk.rs
@@ -194,14 +194,11 @@
             return Self::from_seeder(me, &peers, &chunks, &lengths);
         }
         let survey = Survey::new(me, &peers, &chunks, origin_region);
-        let mut steps: Vec<(Rank, Step)> = chunks
-            .iter()
-            .enumerate()
-            .map(|(index, hash)| survey.step(index, hash, lengths[hash]))
-            .collect();
-        steps.sort_by_key(|(rank, _)| *rank);
-        let steps = steps.into_iter().map(|(_, step)| step).collect();
-        Self { steps }
+        let steps = chunks.iter().enumerate();
+        let steps = steps.map(|(index, hash)| survey.step(index, hash, lengths[hash]));
+        Self {
+            steps: steps.collect(),
+        }
     }
 }
 
@@ -230,9 +227,6 @@
     }
 }
 
-/// Place of a chunk in the fetch order: chunks that enter through the own region go first.
-type Rank = (bool, usize);
-
 /// Leaders in the groups that one host deals with.
 struct Survey<'a> {
     me: &'a Peer,
@@ -268,7 +262,7 @@
         }
     }
 
-    fn step(&self, index: usize, hash: &ChunkHash, length: u32) -> (Rank, Step) {
+    fn step(&self, index: usize, hash: &ChunkHash, length: u32) -> Step {
         let chunk = &self.ranked[index];
         let region = &self.me.region;
         let entrance = self.regions.entrance(index);
@@ -300,14 +294,12 @@
             self.add(&mut sources, outside, chunk);
         }
         sources.push(Source::Origin);
-        let later = *region != self.regions.origin && !from_origin;
-        let step = Step {
+        Step {
             hash: *hash,
             length,
             duty,
             sources,
-        };
-        ((later, index), step)
+        }
     }
 
     fn add(&self, sources: &mut Vec<Source>, group: &Group, chunk: &Ranked) {
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -260,6 +260,7 @@
         proto::Checkpoint {
             revision: self.revision(),
             changes: changes.collect(),
+            through: 0,
         }
     }
 
@@ -330,7 +331,17 @@
         if revision <= self.revision() || revision > last {
             return Err(fail("revisions out of order"));
         }
-        self.effect(revision, &verified.change)?;
+        match &verified.change.kind {
+            // The bundle that named the data centre may have been pruned since.
+            Some(proto::change::Kind::DataCentreOut(name)) => {
+                Arc::make_mut(&mut self.state)
+                    .out
+                    .insert(name.as_str().into());
+            }
+            _ => {
+                self.effect(revision, &verified.change)?;
+            }
+        }
         self.base.insert(revision, verified.signed);
         self.set_revision(revision);
         Ok(())
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -28,6 +28,8 @@
     pub version: Version,
     /// Fencing number of its orders.
     pub fence: Revision,
+    /// Pieces that it consists of; an engine that has staged others refuses to load it.
+    pub pieces: usize,
     /// Versions that load the same chunks, this one included.
     pub same: BTreeSet<Version>,
 }
@@ -270,7 +272,7 @@
                     return Handled;
                 }
                 context.actions.push(Action::Pause);
-                Transition(State::draining(version.clone()))
+                Transition(State::draining())
             }
             _ => Super,
         }
@@ -278,12 +280,7 @@
 
     /// Attempts on the old version finish.
     #[state(superstate = "alive")]
-    fn draining(
-        &mut self,
-        version: &mut Version,
-        context: &mut Context,
-        event: &Event,
-    ) -> Outcome<State> {
+    fn draining(&mut self, context: &mut Context, event: &Event) -> Outcome<State> {
         match event {
             Event::Drained => self.order(context),
             Event::Want(want) => {
@@ -291,8 +288,8 @@
                 if self.complete {
                     return Handled;
                 }
-                context.actions.push(Action::Resume(version.clone()));
-                Transition(State::serving(version.clone()))
+                context.actions.push(Action::Read);
+                Transition(State::adopting())
             }
             _ => Super,
         }
--- /dev/null
+++ b/crates/core/tests/decisions.rs
@@ -0,0 +1,440 @@
+//! Tables of single decisions: routing, limits, retries, membership, plans, gates.
+
+use {
+    jayspread_core::{
+        admit::{Attempt, Safeguards, Table, Turn, Verdict},
+        bundle::Piece,
+        chunk::{Duty, Peer, Plan, Policy as Spreading, Quota, Source},
+        fair::{Class, Queue},
+        member::{self, Change, Health},
+        ramp::Ramp,
+        retry::{self, Budget},
+        rollout::{self, Grants, Status, gate},
+        route::{self, Candidate, Policy, choose, subset},
+    },
+    jayspread_schema::wire::{Phase, Refusal},
+    proptest::{prelude::*, test_runner::RngSeed},
+    rand::{SeedableRng, rngs::SmallRng},
+    rstest::rstest,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::{Duration, Instant},
+    },
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn attempt(request: &str, now: Instant) -> Attempt {
+    Attempt {
+        request: request.into(),
+        incarnation: 1,
+        deadline: now + SECOND,
+        priority: 0,
+    }
+}
+
+fn table(limit: usize, now: Instant) -> Table {
+    let mut table = Table::new(1, Ramp::fixed(limit, now));
+    table.resume();
+    table
+}
+
+#[test]
+fn refuses_start_after_tombstone() {
+    let now = Instant::now();
+    let mut table = table(1, now);
+    assert!(table.cancel(&"a".into(), now));
+    let verdict = table.submit(&attempt("a", now), now);
+    assert_eq!(verdict, Verdict::Refuse(Refusal::Tombstone));
+}
+
+#[test]
+fn attempt_for_another_life_proves_nothing() {
+    let now = Instant::now();
+    let mut table = table(1, now);
+    let mut other = attempt("a", now);
+    other.incarnation = 2;
+    for _ in 0..2 {
+        assert_eq!(
+            table.submit(&other, now),
+            Verdict::Refuse(Refusal::Incarnation)
+        );
+    }
+}
+
+#[test]
+fn waiting_attempt_starts_when_one_ends_and_copies_do_not() {
+    let now = Instant::now();
+    let mut table = table(1, now);
+    assert_eq!(table.submit(&attempt("a", now), now), Verdict::Start);
+    assert_eq!(table.submit(&attempt("b", now), now), Verdict::Wait);
+    assert_eq!(table.submit(&attempt("b", now), now), Verdict::Known);
+    assert_eq!(
+        table.submit(&attempt("c", now), now),
+        Verdict::Refuse(Refusal::Busy)
+    );
+    assert!(!table.cancel(&"a".into(), now));
+    assert_eq!(
+        table.finish(&"a".into(), now),
+        vec![Turn::Start("b".into())]
+    );
+    assert_eq!(table.submit(&attempt("a", now), now), Verdict::Known);
+    assert!(table.release(&"a".into(), now));
+    assert_eq!(table.submit(&attempt("a", now), now), Verdict::Known);
+}
+
+#[test]
+fn closing_refuses_those_that_wait() {
+    let now = Instant::now();
+    let mut table = table(1, now);
+    table.submit(&attempt("a", now), now);
+    table.submit(&attempt("b", now), now);
+    let refused = vec![Turn::Refuse("b".into(), Refusal::NoVersion)];
+    assert_eq!(table.pause(now), refused);
+    let verdict = table.submit(&attempt("d", now), now);
+    assert_eq!(verdict, Verdict::Refuse(Refusal::NoVersion));
+}
+
+#[test]
+fn waiting_past_the_deadline_is_refused() {
+    let now = Instant::now();
+    let mut table = table(1, now);
+    table.submit(&attempt("a", now), now);
+    table.submit(&attempt("b", now), now);
+    let (turns, _) = table.tick(now + SECOND);
+    assert_eq!(turns, vec![Turn::Refuse("b".into(), Refusal::Deadline)]);
+}
+
+#[test]
+fn ramp_grows_with_answers_and_falls_back_when_cold() {
+    let mut now = Instant::now();
+    let mut ramp = Ramp::new(1, 8, SECOND, now);
+    for _ in 0..100 {
+        now += Duration::from_millis(50);
+        assert!(!ramp.observe(Duration::from_millis(10), now));
+    }
+    assert_eq!(ramp.limit(), 8);
+    let cold = (0..3).any(|_| ramp.observe(Duration::from_millis(900), now));
+    assert!(cold);
+    assert_eq!(ramp.limit(), 1);
+}
+
+#[test]
+fn ramp_does_not_grow_faster_than_the_warm_up() {
+    let now = Instant::now();
+    let mut ramp = Ramp::new(1, 8, SECOND, now);
+    for _ in 0..1000 {
+        ramp.observe(Duration::from_millis(1), now);
+    }
+    assert_eq!(ramp.limit(), 1);
+}
+
+fn candidate(host: &str, own: bool, load: u32) -> Candidate {
+    Candidate {
+        host: host.into(),
+        own,
+        reported: load,
+        in_flight: 0,
+        in_flight_then: 0,
+        limit: 4,
+    }
+}
+
+#[rstest]
+#[case::own_first(&[("near", true, 3), ("far", false, 0)], "near")]
+#[case::spills_when_full(&[("near", true, 4), ("far", false, 0)], "far")]
+#[case::less_loaded(&[("a", true, 3), ("b", true, 0)], "b")]
+fn chooses(#[case] of: &[(&str, bool, u32)], #[case] expected: &str) {
+    let candidates: Vec<_> = of
+        .iter()
+        .map(|(h, own, n)| candidate(h, *own, *n))
+        .collect();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut hits = 0;
+    for turn in 0..100 {
+        let found = choose(Policy::TwoChoices, &candidates, None, turn, &mut rng);
+        hits += usize::from(found.is_some_and(|c| &*c.host == expected));
+    }
+    assert!(hits >= 70, "{expected} was chosen {hits} times of 100");
+}
+
+#[test]
+fn affinity_yields_to_load() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut all: Vec<_> = ["a", "b", "c"].map(|h| candidate(h, true, 0)).to_vec();
+    let prefix = Some(&b"prompt"[..]);
+    let first = choose(Policy::TwoChoices, &all, prefix, 0, &mut rng).cloned();
+    let first = first.expect("there are candidates").host;
+    for _ in 0..10 {
+        let again = choose(Policy::TwoChoices, &all, prefix, 0, &mut rng);
+        assert_eq!(again.map(|c| &c.host), Some(&first));
+    }
+    for candidate in all.iter_mut().filter(|c| c.host == first) {
+        candidate.reported = 3;
+    }
+    let other = choose(Policy::TwoChoices, &all, prefix, 0, &mut rng);
+    assert_ne!(other.map(|c| &c.host), Some(&first));
+}
+
+fn names(prefix: &str, count: usize) -> BTreeSet<Box<str>> {
+    (0..count).map(|n| format!("{prefix}{n}").into()).collect()
+}
+
+#[test]
+fn subsets_cover_every_backend_server_evenly() {
+    let entries = names("entry", 19);
+    let backends = names("backend", 579);
+    let mut covered: BTreeMap<Box<str>, usize> = BTreeMap::new();
+    for entry in &entries {
+        let mine = subset(entry, &entries, &backends, route::SUBSET);
+        assert!(
+            mine.len() < 579 * route::SUBSET / 19 * 3 / 2,
+            "{} at {entry}",
+            mine.len()
+        );
+        for host in mine {
+            *covered.entry(host).or_default() += 1;
+        }
+    }
+    assert_eq!(covered.len(), 579);
+    assert!(covered.values().all(|n| *n == route::SUBSET));
+}
+
+#[test]
+fn retries_are_a_share_of_requests() {
+    let now = Instant::now();
+    let mut budget = Budget::new(now);
+    let free = (0..1000).filter(|_| budget.withdraw(now)).count();
+    assert_eq!(free, 10);
+    for _ in 0..1000 {
+        budget.deposit(now);
+    }
+    let earned = (0..1000).filter(|_| budget.withdraw(now)).count();
+    assert!((190..=201).contains(&earned), "{earned}");
+}
+
+#[rstest]
+#[case(retry::Attempt::NotStarted, false, true)]
+#[case(retry::Attempt::Unknown, true, true)]
+#[case(retry::Attempt::Unknown, false, false)]
+fn retry_allowed(#[case] attempt: retry::Attempt, #[case] repeatable: bool, #[case] allowed: bool) {
+    assert_eq!(retry::allowed(attempt, repeatable), allowed);
+}
+
+#[test]
+fn loss_of_one_in_ten_heartbeats_does_not_flap() {
+    let interval = Duration::from_millis(100);
+    let mut now = Instant::now();
+    let mut table = member::Table::new(interval);
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut worse = 0;
+    for sequence in 1..20_000 {
+        now += interval;
+        if !rand::Rng::random_bool(&mut rng, 0.1) {
+            table.beat("a", 1, sequence, false, now);
+        }
+        let changes = table.tick(now);
+        worse += changes
+            .iter()
+            .filter(|(_, health)| *health == Health::Dead)
+            .count();
+    }
+    assert_eq!(worse, 0);
+}
+
+#[test]
+fn restart_and_leaving_are_seen() {
+    let now = Instant::now();
+    let mut table = member::Table::new(SECOND);
+    assert_eq!(table.beat("a", 1, 5, false, now), Change::Up);
+    assert_eq!(table.beat("a", 1, 4, true, now), Change::None);
+    assert!(table.usable("a"));
+    assert_eq!(table.beat("a", 1, 6, true, now), Change::Leaving);
+    assert!(!table.usable("a"));
+    assert_eq!(table.beat("a", 2, 1, false, now), Change::Restarted);
+    assert!(table.usable("a"));
+    table.list("a", false, now);
+    assert!(
+        table.usable("a"),
+        "the platform's list never removes a host that answers"
+    );
+}
+
+#[test]
+fn gate_keeps_the_floor() {
+    let status = |phase, serving: &str| Status {
+        alive: true,
+        phase,
+        serving: serving.into(),
+        wanted: "v2".into(),
+    };
+    let mut pool: BTreeMap<Box<str>, Status> = names("host", 4)
+        .into_iter()
+        .map(|host| (host, status(Phase::Ready, "v1")))
+        .collect();
+    assert_eq!(gate(&pool, "v2", 50).allowed.len(), 2);
+    assert_eq!(gate(&pool, "v2", 75).allowed.len(), 1);
+    pool.insert("host0".into(), status(Phase::Loading, ""));
+    let gate75 = gate(&pool, "v2", 75);
+    assert!(gate75.allowed.is_empty() && !gate75.pause.is_empty());
+    pool.insert("host1".into(), status(Phase::Ready, ""));
+    assert!(
+        gate(&pool, "v2", 75).allowed.contains("host1"),
+        "one that serves nothing may load"
+    );
+    assert_eq!(rollout::floor(1, 50), 0, "a pool of one can be rolled");
+}
+
+#[test]
+fn grants_must_agree() {
+    let mut grants = Grants::default();
+    assert!(!grants.agreed("v2"));
+    grants.hear("a", "v2");
+    assert!(grants.agreed("v2"));
+    grants.hear("b", "");
+    assert!(!grants.agreed("v2"));
+    grants.forget("b");
+    assert!(grants.agreed("v2"));
+}
+
+fn pieces(count: usize) -> Vec<Piece> {
+    let piece = |index: usize| Piece {
+        artifact: "base".into(),
+        offset: index as u64 * 1024,
+        length: 1024,
+        hash: *blake3_of(index).as_bytes(),
+    };
+    (0..count).map(piece).collect()
+}
+
+fn blake3_of(index: usize) -> blake3::Hash {
+    blake3::hash(&index.to_le_bytes())
+}
+
+fn fleet(regions: usize, hosts: usize) -> BTreeSet<Peer> {
+    let peer = |n: usize| Peer {
+        host: format!("host{n}").into(),
+        data_centre: format!("dc{}", n % regions).into(),
+        region: format!("r{}", n % regions).into(),
+    };
+    (0..hosts).map(peer).collect()
+}
+
+#[rstest]
+#[case::one_region(1, 8)]
+#[case::three_regions(3, 48)]
+#[case::six_regions(6, 60)]
+fn plan_leaves_the_origins_region_once(#[case] regions: usize, #[case] hosts: usize) {
+    let peers = fleet(regions, hosts);
+    let pieces = pieces(240);
+    let mut from_origin: BTreeMap<[u8; 32], usize> = BTreeMap::new();
+    let mut pairs: BTreeSet<(Box<str>, Box<str>)> = BTreeSet::new();
+    for me in &peers {
+        let plan = Plan::new(Spreading::Trade, me, &peers, &pieces, "r0");
+        assert_eq!(plan.steps.len(), pieces.len());
+        let duties = plan.steps.iter().filter(|s| s.duty != Duty::Member).count();
+        let fair = pieces.len() * regions / hosts;
+        assert!(
+            duties <= fair + 1,
+            "{duties} duties at {}, fair are {fair}",
+            me.host
+        );
+        for step in &plan.steps {
+            match (&step.duty, &step.sources[0]) {
+                (Duty::Origin, Source::Origin) => *from_origin.entry(step.hash).or_default() += 1,
+                (Duty::Region, Source::Peer(other)) => {
+                    pairs.insert((me.host.clone(), other.clone()));
+                }
+                (Duty::Member, Source::Peer(other)) => assert_ne!(*other, me.host),
+                other => panic!("unexpected step {other:?}"),
+            }
+        }
+    }
+    let wanted = regions.min(2);
+    assert!(
+        from_origin.values().all(|n| *n == wanted),
+        "origin sends {wanted} copies"
+    );
+    let per_pair_of_regions = 2 * hosts / regions;
+    let most = regions * regions * per_pair_of_regions;
+    assert!(pairs.len() <= most, "{} pairs cross regions", pairs.len());
+}
+
+#[test]
+fn quota_bounds_bytes_sent_and_grows_slowly() {
+    let mut quota = Quota::new(1000, 10);
+    let mut sent = 0;
+    while quota.reserve(10, Duration::ZERO) {
+        quota.settle(10, 10);
+        sent += 10;
+    }
+    assert_eq!(sent, 1050);
+    assert!(quota.reserve(10, Duration::from_secs(60)));
+}
+
+#[test]
+fn fair_queue_shares_by_weight_and_serves_late_payers() {
+    let now = Instant::now();
+    let mut queue = Queue::new(10_000);
+    for n in 0..1000 {
+        queue.push("large", 400, Class::Repeatable, now + SECOND, ("large", n));
+    }
+    for n in 0..100 {
+        queue.push("late", 70, Class::Repeatable, now + SECOND, ("late", n));
+    }
+    let mut late = Vec::new();
+    let served: Vec<_> = (0..100).filter_map(|_| queue.pop(now, &mut late)).collect();
+    let share = served.iter().filter(|(who, _)| *who == "late").count();
+    assert!((12..=18).contains(&share), "late payer got {share} of 100");
+}
+
+#[test]
+fn full_queue_sheds_the_lowest_class_of_the_longest_backlog() {
+    let now = Instant::now();
+    let mut queue = Queue::new(3);
+    queue.push("a", 100, Class::Repeatable, now + SECOND, 1);
+    queue.push("a", 100, Class::Repeatable, now + SECOND, 2);
+    queue.push("b", 100, Class::Effect, now + SECOND, 3);
+    assert_eq!(
+        queue.push("b", 100, Class::Effect, now + SECOND, 4),
+        Some(2)
+    );
+    let mut late = Vec::new();
+    assert_eq!(queue.pop(now, &mut late), Some(3), "effects go first");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn table_never_runs_more_than_its_limit(seed in any::<u64>()) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut now = Instant::now();
+        let ramp = Ramp::new(1, 6, SECOND, now);
+        let mut table = Table::with_safeguards(1, ramp, Safeguards::default());
+        table.resume();
+        let mut running: Vec<Box<str>> = Vec::new();
+        for step in 0..300 {
+            now += Duration::from_millis(20);
+            let turns = if rand::Rng::random_bool(&mut rng, 0.6) {
+                let asked = attempt(&format!("r{step}"), now);
+                if table.submit(&asked, now) == Verdict::Start {
+                    running.push(asked.request);
+                }
+                Vec::new()
+            } else if let Some(ended) = running.pop() {
+                table.ramp.observe(Duration::from_millis(5), now);
+                table.finish(&ended, now)
+            } else {
+                table.tick(now).0
+            };
+            let started = turns.into_iter().filter_map(|turn| match turn {
+                Turn::Start(request) => Some(request),
+                Turn::Refuse(..) => None,
+            });
+            running.extend(started);
+            prop_assert_eq!(running.len(), table.running());
+            prop_assert!(running.len() <= table.ramp.limit());
+        }
+    }
+}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -314,6 +314,7 @@
         let recall = Recall {
             request: self.request.to_string(),
             offset: sink.delivered,
+            incarnation: self.target.incarnation,
         };
         match session.ask(ask::Kind::Recall(recall)).await {
             Ok(reader) => self.follow(reader, sink).await,
@@ -325,9 +326,13 @@
     async fn forbid(&self, session: &Session) -> Option<Ending> {
         let cancel = Cancel {
             request: self.request.to_string(),
+            incarnation: self.target.incarnation,
         };
         let limit = self.shared.settings.timing.call;
         match session.call(ask::Kind::Cancel(cancel), limit).await {
+            Ok(reply::Kind::NotStarted(no)) if no.reason() == Refusal::Incarnation => {
+                Some(Ending::Unknown("its backend server was restarted".into()))
+            }
             Ok(reply::Kind::NotStarted(_)) => {
                 Some(Ending::NotStarted(Refusal::Tombstone, Duration::ZERO))
             }
@@ -353,6 +358,10 @@
                 reply::Kind::NotStarted(no) if no.reason() == Refusal::UnknownRequest => {
                     return Step::Foreign;
                 }
+                reply::Kind::NotStarted(no) if no.reason() == Refusal::Incarnation => {
+                    let reason = "its backend server was restarted";
+                    return Step::Done(Ending::Unknown(reason.into()));
+                }
                 reply::Kind::NotStarted(no) => {
                     let delay = Duration::from_millis(no.retry_after_ms.into());
                     return Step::Done(Ending::NotStarted(no.reason(), delay));
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -24,7 +24,8 @@
     Batch,
     /// The record makes no sense.
     Nonsense(Box<str>),
-    /// A change from before the first checkpoint of a truncated log.
+    /// A change that cannot be judged yet, or a checkpoint that leaves records out, because
+    /// records were missed.
     Unplaced,
 }
 
@@ -37,8 +38,11 @@
     pub ledger: Ledger,
     /// Position of the next record to read.
     pub next: Offset,
-    /// Whether every change before `next` is known, so that changes can be judged.
-    placed: bool,
+    /// First position read since records were missed; nothing while none was, so that changes
+    /// can be judged.
+    missed: Option<Offset>,
+    /// Changes read since then, to be judged after a checkpoint.
+    unplaced: Vec<(Offset, Signed)>,
     /// Revision of the last checkpoint read.
     pub checkpoint: Revision,
 }
@@ -50,7 +54,8 @@
             fold: Fold::new(operators),
             ledger: Ledger::default(),
             next: 0,
-            placed: true,
+            missed: None,
+            unplaced: Vec::new(),
             checkpoint: 0,
         }
     }
@@ -58,7 +63,19 @@
     /// Skips to the first record kept; changes count only from the next checkpoint on.
     pub fn truncated(&mut self, first: Offset) {
         self.next = first;
-        self.placed = false;
+        self.missed = Some(first);
+        self.unplaced.clear();
+    }
+
+    /// Checkpoint of what was folded, to be appended to the log.
+    pub fn write_checkpoint(&self) -> Option<Checkpoint> {
+        if self.missed.is_some() || self.fold.revision() == 0 {
+            return None;
+        }
+        Some(Checkpoint {
+            through: self.next,
+            ..self.fold.checkpoint()
+        })
     }
 
     /// Applies the next record.
@@ -70,7 +87,7 @@
             Err(cause) => return Outcome::Nonsense(cause.to_string().into()),
         };
         match record.kind {
-            Some(record::Kind::Signed(signed)) => self.change(&signed),
+            Some(record::Kind::Signed(signed)) => self.change(entry.offset, signed),
             Some(record::Kind::Checkpoint(checkpoint)) => self.restore(&checkpoint),
             Some(record::Kind::Batch(batch)) => match self.ledger.apply(&batch) {
                 Ok(()) => Outcome::Batch,
@@ -80,24 +97,37 @@
         }
     }
 
-    fn change(&mut self, signed: &Signed) -> Outcome {
-        if !self.placed {
+    fn change(&mut self, offset: Offset, signed: Signed) -> Outcome {
+        if self.missed.is_some() {
+            self.unplaced.push((offset, signed));
             return Outcome::Unplaced;
         }
+        self.judge(&signed)
+    }
+
+    fn judge(&mut self, signed: &Signed) -> Outcome {
         match self.fold.apply(signed) {
             Ok((revision, effect)) => Outcome::Accepted(revision, effect),
             Err(reason) => Outcome::Refused(reason),
         }
     }
 
+    /// Takes up a checkpoint, unless records between it and those read are missing.
     fn restore(&mut self, checkpoint: &Checkpoint) -> Outcome {
-        match self.fold.apply_checkpoint(checkpoint) {
-            Ok(moved) => {
-                self.checkpoint = self.checkpoint.max(checkpoint.revision);
-                self.placed = true;
-                Outcome::Checkpoint(moved)
+        if self.missed.is_some_and(|first| checkpoint.through < first) {
+            return Outcome::Unplaced;
+        }
+        let moved = match self.fold.apply_checkpoint(checkpoint) {
+            Ok(moved) => moved,
+            Err(reason) => return Outcome::Refused(reason),
+        };
+        self.checkpoint = self.checkpoint.max(checkpoint.revision);
+        self.missed = None;
+        for (offset, signed) in std::mem::take(&mut self.unplaced) {
+            if offset >= checkpoint.through {
+                let _ = self.judge(&signed);
             }
-            Err(reason) => Outcome::Refused(reason),
         }
+        Outcome::Checkpoint(moved)
     }
 }
--- a/crates/entry/src/tail.rs
+++ b/crates/entry/src/tail.rs
@@ -173,7 +173,9 @@
 }
 
 async fn write(shared: &Shared) {
-    let checkpoint = lock(&shared.journal).fold.checkpoint();
+    let Some(checkpoint) = lock(&shared.journal).write_checkpoint() else {
+        return;
+    };
     let revision = checkpoint.revision;
     let record = Record {
         kind: Some(record::Kind::Checkpoint(checkpoint)),
--- a/crates/fakes/examples/measure/main.rs
+++ b/crates/fakes/examples/measure/main.rs
@@ -4,6 +4,7 @@
 
 mod rollout;
 mod sample;
+mod walk;
 
 use {
     clap::{Parser, Subcommand},
@@ -28,6 +29,8 @@
 enum Scenario {
     /// Time to N replicas and bytes over each link.
     Rollout(rollout::Rollout),
+    /// Random walks with the invariants asserted.
+    Walk(walk::Walk),
 }
 
 #[tokio::main]
@@ -46,5 +49,6 @@
 async fn run(scenario: &Scenario) -> Result<()> {
     match scenario {
         Scenario::Rollout(rollout) => rollout.run().await,
+        Scenario::Walk(walk) => walk.run().await,
     }
 }
--- a/crates/fakes/examples/measure/rollout.rs
+++ b/crates/fakes/examples/measure/rollout.rs
@@ -12,7 +12,10 @@
         engine::Behaviour,
     },
     jayspread_schema::settings::{Kind, MIB},
-    std::time::{Duration, Instant},
+    std::{
+        cell::Cell,
+        time::{Duration, Instant},
+    },
     tokio::time,
 };
 
@@ -184,7 +187,16 @@
         if self.faults {
             self.provoke(&mut cluster).await?;
         }
-        let took = cluster.until(ROLLOUT_MAX, |c| c.serves("v1")).await;
+        let shown = Cell::new(0);
+        let took = cluster
+            .until(ROLLOUT_MAX, |c| {
+                let second = began.elapsed().as_secs();
+                if second > shown.replace(second) {
+                    self.print_progress(c, second);
+                }
+                c.serves("v1")
+            })
+            .await;
         if took.is_none() {
             self.stuck(&cluster);
             cluster.close().await;
@@ -253,6 +265,20 @@
         figures
     }
 
+    /// Prints copies that have crossed the thin links, by who sent them.
+    fn print_progress(&self, cluster: &Cluster, second: u64) {
+        let size = self.bytes() as f64;
+        let agents = cluster.agents.values().filter_map(|h| h.agent.as_ref());
+        let far: u64 = agents
+            .map(|a| a.shared().metrics.bytes_sent_far.get())
+            .sum();
+        println!(
+            "progress second={second} origin_far={:.2} traded={:.2}",
+            cluster.store.sent().1 as f64 / size,
+            far as f64 / size
+        );
+    }
+
     /// Prints sums over all agents: copies sent to other regions, and failed requests by reason.
     fn print_sums(&self, cluster: &Cluster) {
         const REASONS: [&str; 10] = [
--- /dev/null
+++ b/crates/fakes/examples/measure/walk.rs
@@ -0,0 +1,48 @@
+//! Long random walks through the core's state machines.
+
+use {
+    clap::Args,
+    eyre::Result,
+    jayspread_fakes::walk::{Safeguards, attempts, orders, revisions},
+    std::time::Instant,
+};
+
+/// Long random walks through the core's state machines, with the invariants asserted.
+#[derive(Debug, Clone, Args)]
+pub struct Walk {
+    /// Seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Steps of each walk.
+    #[arg(long, default_value_t = 1_000_000)]
+    steps: u64,
+}
+
+impl Walk {
+    /// Runs the walks; a broken invariant panics.
+    pub async fn run(&self) -> Result<()> {
+        let began = Instant::now();
+        let safeguards = Safeguards::default();
+        println!(
+            "walk {:?}",
+            attempts::walk(self.seed, self.steps, safeguards)
+        );
+        println!(
+            "walk {:?}",
+            orders::walk(self.seed, self.steps, true, safeguards)
+        );
+        println!(
+            "walk {:?}",
+            orders::walk(self.seed, self.steps, false, safeguards)
+        );
+        let revisions = revisions::walk(self.seed, self.steps / 100);
+        println!("walk {revisions:?}");
+        println!(
+            "result scenario=walk seed={} steps={} seconds={:.1} broken=0",
+            self.seed,
+            self.steps * 3 + self.steps / 100,
+            began.elapsed().as_secs_f64()
+        );
+        Ok(())
+    }
+}
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -309,6 +309,10 @@
     if inner.behaviour.checks_fencing && order.fence < inner.fence {
         return StatusCode::CONFLICT;
     }
+    let staged = inner.staged.get(&*order.version).map_or(0, BTreeMap::len);
+    if staged != order.pieces {
+        return StatusCode::UNPROCESSABLE_ENTITY;
+    }
     inner.fence = inner.fence.max(order.fence);
     let due = Instant::now() + inner.behaviour.load;
     inner.serving = None;
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod server;
 pub mod shape;
 pub mod store;
+pub mod walk;
