--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -44,6 +44,14 @@
     open: bool,
 }
 
+impl Drop for Control {
+    fn drop(&mut self) {
+        if let Some((_, task)) = &self.job {
+            task.abort();
+        }
+    }
+}
+
 impl Control {
     /// Creates the loop's state.
     pub fn new(shared: &Arc<Shared>) -> Self {
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -19,7 +19,10 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
-        sync::{Arc, Mutex, atomic::Ordering},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU32, Ordering},
+        },
         time::Duration,
     },
     tokio::{sync::Semaphore, task::JoinSet, time},
@@ -33,6 +36,12 @@
 const STAGING: usize = 4;
 /// Delay before the sources of a chunk are tried again from the first.
 const ROUND_DELAY: Duration = Duration::from_millis(200);
+/// Probes in a row without a hit after which a leader stops probing: the version is new to all.
+const PROBES: u32 = 4;
+/// Times the usual after which a transfer from the origin counts as stalled.
+const STALLED_FACTOR: u32 = 4;
+/// Weight of a new transfer time, as a divisor.
+const SMOOTHING: u32 = 4;
 /// Longest time for one chunk's transfer, as a multiple of the takeover time.
 const TRANSFER_TAKEOVERS: u32 = 4;
 
@@ -60,6 +69,10 @@
     afar: Semaphore,
     inside: Semaphore,
     staging: Semaphore,
+    /// Probes in a row that found nothing.
+    probe_misses: AtomicU32,
+    /// Smoothed time of a chunk's transfer from the origin.
+    usual: Mutex<Option<Duration>>,
 }
 
 impl Job {
@@ -84,6 +97,8 @@
             afar: Semaphore::new(FROM_AFAR),
             inside: Semaphore::new(shared.settings.spread.downloads),
             staging: Semaphore::new(STAGING),
+            probe_misses: AtomicU32::new(0),
+            usual: Mutex::default(),
             shared: Arc::clone(shared),
         });
         let steps = job.replan();
@@ -111,15 +126,7 @@
             &self.bundle.origin_region,
         );
         let by_hash = plan.steps.iter().map(|step| (step.hash, step.clone()));
-        let mut by_hash: BTreeMap<ChunkHash, Step> = by_hash.collect();
-        let mut current = lock(&self.plan);
-        for (hash, step) in &mut by_hash {
-            if let Some(before) = current.get(hash) {
-                ask_former(step, before);
-            }
-        }
-        *current = by_hash;
-        drop(current);
+        *lock(&self.plan) = by_hash.collect();
         plan.steps
     }
 
@@ -255,22 +262,39 @@
 
     /// Tries each source once, a pending one until it gives the chunk or fails.
     async fn round(&self, step: &Step) -> Option<Bytes> {
-        for (index, source) in step.sources.iter().enumerate() {
+        let mut asked = false;
+        for source in &step.sources {
             if self.skips(step, source) {
                 continue;
             }
+            // A source in place of the one that should have the chunk must obtain it.
+            let probe = self.probes(step, source);
+            if probe && self.probe_misses.load(Ordering::Relaxed) >= PROBES {
+                continue;
+            }
+            let acquire = asked && !probe;
+            asked |= !probe;
             let Ok(_permit) = self.gate(step, source).acquire().await else {
                 return None;
             };
             loop {
-                match self.try_source(step, source, index > 0).await {
-                    Ok(bytes) => return Some(bytes),
+                match self.try_source(step, source, acquire).await {
+                    Ok(bytes) => {
+                        if probe {
+                            self.probe_misses.store(0, Ordering::Relaxed);
+                        }
+                        return Some(bytes);
+                    }
                     Err(Miss::Pending) if !self.skips(step, source) => {}
                     Err(Miss::Pending) => break,
                     Err(Miss::Limited(delay)) => {
                         Metrics::count(&self.shared.metrics.fetch_failed, "limited");
                         time::sleep(delay).await;
                     }
+                    Err(Miss::Failed(_)) if probe => {
+                        self.probe_misses.fetch_add(1, Ordering::Relaxed);
+                        break;
+                    }
                     Err(Miss::Failed(reason)) => {
                         Metrics::count(&self.shared.metrics.fetch_failed, reason);
                         break;
@@ -303,6 +327,14 @@
         promoted && step.duty == Duty::Member && self.near(host)
     }
 
+    /// Whether a leader only asks whether a host of its data centre has the chunk already.
+    fn probes(&self, step: &Step, source: &Source) -> bool {
+        match source {
+            Source::Peer(host) => step.duty != Duty::Member && self.near(host),
+            Source::Origin => false,
+        }
+    }
+
     fn near(&self, host: &Host) -> bool {
         let config = lock(&self.shared.config);
         let member = config.members.get(host);
@@ -342,9 +374,11 @@
         let Some(store) = &self.shared.store else {
             return Err(Miss::Failed("no_store"));
         };
-        let limit = self.transfer_limit();
+        let limit = self.origin_limit();
+        let began = clock::now();
         match store.chunk(step.hash, step.length, limit).await {
             Ok(bytes) => {
+                self.learn(clock::now() - began);
                 self.shared
                     .metrics
                     .bytes_from_origin
@@ -360,6 +394,23 @@
         }
     }
 
+    /// Takes in the time of a transfer from the origin.
+    fn learn(&self, took: Duration) {
+        let mut usual = lock(&self.usual);
+        let before = usual.unwrap_or(took);
+        *usual = Some((before * (SMOOTHING - 1) + took) / SMOOTHING);
+    }
+
+    /// Time after which a transfer from the origin counts as stalled: several times the usual.
+    fn origin_limit(&self) -> Duration {
+        let most = self.transfer_limit();
+        let Some(usual) = *lock(&self.usual) else {
+            return most;
+        };
+        let least = self.shared.settings.spread.takeover.min(most);
+        (usual * STALLED_FACTOR).clamp(least, most)
+    }
+
     fn transfer_limit(&self) -> Duration {
         self.shared.settings.spread.takeover * TRANSFER_TAKEOVERS
     }
@@ -373,8 +424,8 @@
             .session(&self.shared, host, address, takeover)
             .await;
         let session = session.ok_or(Miss::Failed("unreachable"))?;
-        let former = step.duty != Duty::Member && self.near(host) && step.duty != Duty::DataCentre;
-        let wait = if former { Duration::ZERO } else { takeover };
+        let probe = self.probes(step, &Source::Peer(host.clone()));
+        let wait = if probe { Duration::ZERO } else { takeover };
         let fetch = Fetch {
             version: self.bundle.version.to_string(),
             hash: Bytes::copy_from_slice(&step.hash),
@@ -403,7 +454,7 @@
                     .inc_by(bytes.len() as u64);
                 Ok(bytes)
             }
-            Ok(Some(Err(reply::Kind::NoChunk(none)))) if none.pending && !former => {
+            Ok(Some(Err(reply::Kind::NoChunk(none)))) if none.pending && !probe => {
                 Err(Miss::Pending)
             }
             Ok(Some(Err(reply::Kind::NoChunk(none)))) if none.missing => {
@@ -421,17 +472,6 @@
     }
 }
 
-/// Has a new leader ask the former one first, which may hold the chunk already.
-fn ask_former(step: &mut Step, before: &Step) {
-    let Some(former) = before.sources.first() else {
-        return;
-    };
-    if step.duty != Duty::Member && before.duty == Duty::Member && *former != Source::Origin {
-        step.sources.retain(|source| source != former);
-        step.sources.insert(0, former.clone());
-    }
-}
-
 /// Chunks that this host passes on to others.
 fn led(steps: &[Step]) -> BTreeSet<ChunkHash> {
     let leads = steps.iter().filter(|step| step.duty != Duty::Member);
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -79,6 +79,11 @@
         link
     }
 
+    /// Closes all connections.
+    pub fn close(&self) {
+        lock(&self.open).clear();
+    }
+
     /// Closes connections that were not used for some time.
     pub fn tidy(&self, now: Instant) {
         lock(&self.open).retain(|_, peer| now < peer.used + IDLE);
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -140,6 +140,7 @@
         for task in self.tasks {
             task.abort();
         }
+        self.shared.peers.close();
         self.shared.node.clone().close().await;
         event!(Info, "stopped", cut_off = cut);
     }
--- a/crates/core/src/chunk.rs
+++ b/crates/core/src/chunk.rs
@@ -283,10 +283,9 @@
         } else {
             Duty::Member
         };
+        // A leader that was replaced finds in its data centre what its predecessor passed on.
         let mut sources = Vec::new();
-        if duty == Duty::Member {
-            self.add(&mut sources, &self.own, chunk);
-        }
+        self.add(&mut sources, &self.own, chunk);
         if matches!(duty, Duty::Member | Duty::DataCentre) {
             self.add(&mut sources, regional, chunk);
         }
--- a/crates/fakes/examples/measure/main.rs
+++ b/crates/fakes/examples/measure/main.rs
@@ -2,8 +2,14 @@
 //!
 //! Each scenario prints lines of key=value pairs, the last one starting with `result`.
 
+mod load;
+mod moves;
+mod once;
+mod overhead;
+mod plot;
 mod rollout;
 mod sample;
+mod site;
 mod walk;
 
 use {
@@ -29,6 +35,12 @@
 enum Scenario {
     /// Time to N replicas and bytes over each link.
     Rollout(rollout::Rollout),
+    /// What the path adds to a request and to a token.
+    Overhead(overhead::Overhead),
+    /// Non-repeatable calls under faults.
+    Once(once::Once),
+    /// Service while a data centre leaves and returns.
+    Move(moves::Move),
     /// Random walks with the invariants asserted.
     Walk(walk::Walk),
 }
@@ -49,6 +61,9 @@
 async fn run(scenario: &Scenario) -> Result<()> {
     match scenario {
         Scenario::Rollout(rollout) => rollout.run().await,
+        Scenario::Overhead(overhead) => overhead.run().await,
+        Scenario::Once(once) => once.run().await,
+        Scenario::Move(moves) => moves.run().await,
         Scenario::Walk(walk) => walk.run().await,
     }
 }
--- a/crates/fakes/examples/measure/rollout.rs
+++ b/crates/fakes/examples/measure/rollout.rs
@@ -13,7 +13,8 @@
     },
     jayspread_schema::settings::{Kind, MIB},
     std::{
-        cell::Cell,
+        cell::{Cell, RefCell},
+        path::PathBuf,
         time::{Duration, Instant},
     },
     tokio::time,
@@ -56,6 +57,9 @@
     /// Leave the baseline out.
     #[arg(long)]
     no_baseline: bool,
+    /// Draw replicas complete over time to this SVG file.
+    #[arg(long, value_name = "FILE")]
+    plot: Option<PathBuf>,
 }
 
 /// Figures of one roll-out.
@@ -118,6 +122,21 @@
         Ok(())
     }
 
+    /// Least time that the links allow, seconds.
+    fn bound(&self) -> f64 {
+        let thin = rate(self.thin_mbit);
+        let links = Links {
+            origin: rate(self.origin_mbit),
+            region: if self.data_centres > 1 {
+                thin
+            } else {
+                f64::INFINITY
+            },
+            host: f64::INFINITY,
+        };
+        chunk::bound(self.bytes() as u64, links).as_secs_f64()
+    }
+
     fn bytes(&self) -> usize {
         self.mib * MIB as usize
     }
@@ -188,15 +207,24 @@
             self.provoke(&mut cluster).await?;
         }
         let shown = Cell::new(0);
+        let served = RefCell::new(vec![(0.0, 0)]);
         let took = cluster
             .until(ROLLOUT_MAX, |c| {
                 let second = began.elapsed().as_secs();
                 if second > shown.replace(second) {
                     self.print_progress(c, second);
                 }
+                let count = complete(c);
+                let mut served = served.borrow_mut();
+                if served.last().is_some_and(|(_, before)| *before != count) {
+                    served.push((began.elapsed().as_secs_f64(), count));
+                }
                 c.serves("v1")
             })
             .await;
+        if let (Some(file), Policy::Trade) = (&self.plot, spreading) {
+            crate::plot::replicas(file, &served.borrow(), self.bound())?;
+        }
         if took.is_none() {
             self.stuck(&cluster);
             cluster.close().await;
@@ -273,7 +301,8 @@
             .map(|a| a.shared().metrics.bytes_sent_far.get())
             .sum();
         println!(
-            "progress second={second} origin_far={:.2} traded={:.2}",
+            "progress second={second} complete={} origin_far={:.2} traded={:.2}",
+            complete(cluster),
             cluster.store.sent().1 as f64 / size,
             far as f64 / size
         );
@@ -358,6 +387,14 @@
     }
 }
 
+/// Backend servers that serve the version.
+fn complete(cluster: &Cluster) -> usize {
+    let agents = cluster.agents.values().filter_map(|h| h.agent.as_ref());
+    agents
+        .filter(|agent| agent.shared().serving() == "v1")
+        .count()
+}
+
 /// Bytes a second of a rate in megabits a second.
 fn rate(mbit: f64) -> f64 {
     mbit * 1e6 / 8.0
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -289,10 +289,13 @@
         Ok(())
     }
 
-    /// Kills an entry host and returns its settings, for starting it again.
+    /// Kills an entry host and returns its settings, with another peer address, for starting it
+    /// again while tasks of the killed one may still hold the old address.
     pub async fn kill_entry(&mut self, host: &str) -> Option<settings::Entry> {
         let entry = self.entries.remove(host)?;
-        let settings = entry.shared().settings.clone();
+        let mut settings = entry.shared().settings.clone();
+        settings.listen.peer = free_udp();
+        settings.listen.admin = free_tcp();
         entry.abort().await;
         Some(settings)
     }
@@ -363,10 +366,15 @@
         Ok(())
     }
 
-    /// Kills a host's agent.
+    /// Kills a host's agent; it can be started again at another peer address, since tasks of the
+    /// killed one may still hold the old one.
     pub async fn kill_agent(&mut self, host: &str) {
-        let found = self.agents.get_mut(host).and_then(|h| h.agent.take());
-        if let Some(agent) = found {
+        let Some(found) = self.agents.get_mut(host) else {
+            return;
+        };
+        found.settings.listen.peer = free_udp();
+        found.settings.listen.admin = free_tcp();
+        if let Some(agent) = found.agent.take() {
             agent.abort().await;
         }
     }
--- a/crates/net/src/node.rs
+++ b/crates/net/src/node.rs
@@ -208,7 +208,7 @@
         Ok(Session::new(connection, peer, own))
     }
 
-    /// Ends all connections and releases the socket.
+    /// Ends all connections; the address is free once no task holds the endpoint any more.
     pub async fn close(self) {
         self.endpoint.close(VarInt::from_u32(0), b"closed");
         let _ = time::timeout(self.timing.call, self.endpoint.wait_idle()).await;
