--- a/crates/entry/src/tail.rs
+++ b/crates/entry/src/tail.rs
@@ -25,7 +25,7 @@
 };
 
 /// Longest wait of one read for records.
-const WAIT: Duration = Duration::from_secs(5);
+const WAIT: Duration = Duration::from_secs(2);
 /// Delay after a failed read.
 const FAILED_DELAY: Duration = Duration::from_millis(200);
 /// Changes after which a checkpoint is due.
@@ -44,10 +44,10 @@
     let mut pruned = clock::now();
     loop {
         let from = lock(&shared.journal).next;
-        let wait = if shared.caught_up.load(Ordering::Relaxed) {
-            WAIT
-        } else {
-            Duration::ZERO
+        let steady = shared.caught_up.load(Ordering::Relaxed);
+        let wait = match steady && shared.log_up.load(Ordering::Relaxed) {
+            true => WAIT,
+            false => Duration::ZERO,
         };
         match shared.log.read(from, wait).await {
             Ok(Page::Records(entries, _)) => take(&shared, &entries),
