--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -12,6 +12,8 @@
 
 /// Entry hosts that connect to each backend server.
 pub const SUBSET: usize = 6;
+/// Backend servers of a pool that every entry host connects to, so that each has some.
+pub const SMALL_POOL: usize = 32;
 /// Bytes of a request body that tell its prompt prefix.
 pub const PREFIX_BYTES: usize = 256;
 /// Load above the mean that affinity tolerates, in the share of a limit.
@@ -129,15 +131,15 @@
     (found.headroom() && found.load() <= mean + AFFINITY_SLACK).then_some(*found)
 }
 
-/// Backend servers that `entry` connects to: for each one, the entry hosts with the highest
-/// scores do.
+/// Backend servers that `entry` connects to: all of a small pool; of a large one, for each backend
+/// server the entry hosts with the highest scores do.
 pub fn subset(
     entry: &str,
     entries: &BTreeSet<Host>,
     backends: &BTreeSet<Host>,
     size: usize,
 ) -> BTreeSet<Host> {
-    if entries.len() <= size {
+    if entries.len() <= size || backends.len() <= SMALL_POOL {
         return backends.clone();
     }
     let mine = |backend: &&Host| {
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -200,6 +200,15 @@
     assert!(covered.values().all(|n| *n == route::SUBSET));
 }
 
+#[test]
+fn every_entry_host_reaches_a_small_pool() {
+    let entries = names("entry", 9);
+    let backends = names("backend", 1);
+    for entry in &entries {
+        assert_eq!(subset(entry, &entries, &backends, route::SUBSET), backends);
+    }
+}
+
 #[test]
 fn retries_are_a_share_of_requests() {
     let now = Instant::now();
--- a/crates/fakes/examples/measure/main.rs
+++ b/crates/fakes/examples/measure/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Each scenario prints lines of key=value pairs, the last one starting with `result`.
 
+mod cold;
+mod control;
 mod load;
 mod moves;
 mod once;
@@ -39,6 +41,12 @@
     Overhead(overhead::Overhead),
     /// Non-repeatable calls under faults.
     Once(once::Once),
+    /// Load on a cold backend server before many entry hosts.
+    Cold(cold::Cold),
+    /// Slopes of processor time, memory and bytes against the number of peers.
+    Control(control::Control),
+    /// Time until changes are in force, with racing operators and a log outage.
+    Config(cold::Config),
     /// Service while a data centre leaves and returns.
     Move(moves::Move),
     /// Random walks with the invariants asserted.
@@ -62,6 +70,9 @@
     match scenario {
         Scenario::Rollout(rollout) => rollout.run().await,
         Scenario::Overhead(overhead) => overhead.run().await,
+        Scenario::Cold(cold) => cold.run().await,
+        Scenario::Control(control) => control.run().await,
+        Scenario::Config(config) => config.run().await,
         Scenario::Once(once) => once.run().await,
         Scenario::Move(moves) => moves.run().await,
         Scenario::Walk(walk) => walk.run().await,
--- a/crates/fakes/examples/measure/sample.rs
+++ b/crates/fakes/examples/measure/sample.rs
@@ -9,7 +9,12 @@
 
 /// Processor time that this process has used.
 pub fn cpu() -> Duration {
-    let text = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    cpu_of("self")
+}
+
+/// Processor time that a process has used.
+pub fn cpu_of(process: &str) -> Duration {
+    let text = fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
     let rest = text.rsplit(')').next().unwrap_or_default();
     let fields: Vec<u64> = rest
         .split_whitespace()
@@ -19,9 +24,9 @@
     Duration::from_millis(ticks * 1000 / TICKS)
 }
 
-/// Resident memory of this process, bytes.
-pub fn resident() -> u64 {
-    let text = fs::read_to_string("/proc/self/status").unwrap_or_default();
+/// Resident memory of a process, bytes.
+pub fn resident_of(process: &str) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let line = text.lines().find(|line| line.starts_with("VmRSS:"));
     let number = line.and_then(|line| line.split_whitespace().nth(1));
     number.and_then(|n| n.parse::<u64>().ok()).unwrap_or(0) * KIB
