At most 24 hosts of a region fetch from outside

cause: with 150 replicas, 50 hosts of each region took chunks from the origin at once; their slow transfers ran into the stall limit and chunks were sent again.

--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -329,10 +329,7 @@
 
     /// Whether a leader only asks whether a host of its data centre has the chunk already.
     fn probes(&self, step: &Step, source: &Source) -> bool {
-        match source {
-            Source::Peer(host) => step.duty != Duty::Member && self.near(host),
-            Source::Origin => false,
-        }
+        step.sources[..step.probes].contains(source)
     }
 
     fn near(&self, host: &Host) -> bool {
--- a/crates/core/src/chunk.rs
+++ b/crates/core/src/chunk.rs
@@ -18,6 +18,9 @@
 /// Leaders tried for a chunk in one data centre or region before the origin.
 pub const CANDIDATES: usize = 3;
 
+/// Hosts of one region at most that fetch chunks from the origin and other regions.
+pub const REGION_LEADERS: usize = 24;
+
 /// A host that takes part in distributing a version.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Peer {
@@ -62,6 +65,8 @@
     pub duty: Duty,
     /// Sources in the order to try; never empty.
     pub sources: Vec<Source>,
+    /// Sources at the front that are only asked whether they have the chunk already.
+    pub probes: usize,
 }
 
 /// Ways to distribute a version, for comparison by measurement.
@@ -98,6 +103,12 @@
         Self { members }
     }
 
+    /// Keeps only so many members, so that few transfers share the links between regions.
+    fn first(mut self, count: usize) -> Self {
+        self.members.truncate(count);
+        self
+    }
+
     /// Leaders of a chunk in the order to try them; a dead one's chunks fall to all others.
     fn candidates(&self, chunk: &Ranked) -> Vec<&Host> {
         let count = self.members.len();
@@ -220,6 +231,7 @@
             length: lengths[hash],
             duty,
             sources: vec![source.clone()],
+            probes: 0,
         });
         Self {
             steps: steps.collect(),
@@ -252,7 +264,7 @@
         let own = Group::new(own.collect());
         let by_region = hosts
             .into_iter()
-            .map(|(region, hosts)| (region, Group::new(hosts)));
+            .map(|(region, hosts)| (region, Group::new(hosts).first(REGION_LEADERS)));
         Self {
             me,
             regions: Regions::new(peers, origin),
@@ -285,7 +297,14 @@
         };
         // A leader that was replaced finds in its data centre what its predecessor passed on.
         let mut sources = Vec::new();
-        self.add(&mut sources, &self.own, chunk);
+        if duty != Duty::DataCentre {
+            self.add(&mut sources, &self.own, chunk);
+        }
+        let probes = if duty == Duty::Member {
+            0
+        } else {
+            sources.len()
+        };
         if matches!(duty, Duty::Member | Duty::DataCentre) {
             self.add(&mut sources, regional, chunk);
         }
@@ -298,6 +317,7 @@
             length,
             duty,
             sources,
+            probes,
         }
     }
 
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -349,15 +349,7 @@
             me.host
         );
         for step in &plan.steps {
-            let near = |source: &&Source| match source {
-                Source::Peer(host) => peers
-                    .iter()
-                    .any(|p| p.host == *host && p.region == me.region),
-                Source::Origin => false,
-            };
-            let probed = step.sources.iter().take_while(near).count();
-            let first = if step.duty == Duty::Member { 0 } else { probed };
-            match (&step.duty, &step.sources[first]) {
+            match (&step.duty, &step.sources[step.probes]) {
                 (Duty::Origin, Source::Origin) => *from_origin.entry(step.hash).or_default() += 1,
                 (Duty::Region, Source::Peer(other)) => {
                     pairs.insert((me.host.clone(), other.clone()));
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -31,7 +31,7 @@
         },
         time::{Duration, Instant},
     },
-    tokio::time,
+    tokio::{task::JoinSet, time},
 };
 
 /// Interval of looking whether something awaited has come.
@@ -455,15 +455,17 @@
 
     /// Stops everything.
     pub async fn close(self) {
+        let mut ends = JoinSet::new();
         for entry in self.entries.into_values() {
-            entry.abort().await;
+            ends.spawn(entry.abort());
         }
         for host in self.agents.into_values() {
             if let Some(agent) = host.agent {
-                agent.abort().await;
+                ends.spawn(agent.abort());
             }
             host.server.close();
         }
+        while ends.join_next().await.is_some() {}
         self.log_server.close();
         self.store_server.close();
         self.hosts_server.close();
--- a/crates/fakes/src/shape.rs
+++ b/crates/fakes/src/shape.rs
@@ -56,15 +56,28 @@
         Some(*free)
     }
 
-    /// Waits until `bytes` have passed, without ever dropping.
+    /// Waits until `bytes` have passed, without ever dropping. Like a sender that answers to
+    /// congestion, it joins the queue only while that is short, and so leaves room for others.
     pub async fn wait(&self, bytes: usize) {
-        let due = {
-            let mut free = self.free.lock().expect("no panic holds the lock");
-            *free = (*free).max(Instant::now()) + Duration::from_secs_f64(bytes as f64 / self.rate);
-            *self.bytes.lock().expect("no panic holds the lock") += bytes as u64;
-            *free
-        };
-        time::sleep_until(time::Instant::from_std(due)).await;
+        loop {
+            let (due, joined) = self.join(bytes);
+            time::sleep_until(time::Instant::from_std(due)).await;
+            if joined {
+                return;
+            }
+        }
+    }
+
+    /// Time when the bytes have passed, or when to try again since the queue is long.
+    fn join(&self, bytes: usize) -> (Instant, bool) {
+        let now = Instant::now();
+        let mut free = self.free.lock().expect("no panic holds the lock");
+        if *free > now + QUEUE_MAX / 2 {
+            return (*free - QUEUE_MAX / 4, false);
+        }
+        *free = (*free).max(now) + Duration::from_secs_f64(bytes as f64 / self.rate);
+        *self.bytes.lock().expect("no panic holds the lock") += bytes as u64;
+        (*free, true)
     }
 
     /// Bytes passed so far.
