--- a/crates/fakes/examples/measure/main.rs
+++ b/crates/fakes/examples/measure/main.rs
@@ -8,6 +8,7 @@
 mod moves;
 mod once;
 mod overhead;
+mod planner;
 mod plot;
 mod rollout;
 mod sample;
@@ -49,6 +50,8 @@
     Config(cold::Config),
     /// Service while a data centre leaves and returns.
     Move(moves::Move),
+    /// The chunk plan alone, at sizes beyond one machine.
+    Planner(planner::Planner),
     /// Random walks with the invariants asserted.
     Walk(walk::Walk),
 }
@@ -75,6 +78,7 @@
         Scenario::Config(config) => config.run().await,
         Scenario::Once(once) => once.run().await,
         Scenario::Move(moves) => moves.run().await,
+        Scenario::Planner(planner) => planner.run().await,
         Scenario::Walk(walk) => walk.run().await,
     }
 }
