--- a/crates/fakes/examples/demo.rs
+++ b/crates/fakes/examples/demo.rs
@@ -88,12 +88,14 @@
         keep(&cluster).await;
     }
     stop(&mut cluster, began).await?;
+    let fees = effects(&cluster, "fee-1");
     cluster.close().await;
     println!(
-        "demo ok seconds={:.1} whole={} refused={} wrong=0 ran_twice=0 partial=0 mixed=0",
+        "demo ok seconds={:.1} whole={} refused={} wrong={} effects_applied_to_fee={fees}",
         began.elapsed().as_secs_f64(),
         figures.whole,
-        figures.refused
+        figures.refused,
+        figures.wrong
     );
     Ok(())
 }
--- a/crates/fakes/examples/measure/cold.rs
+++ b/crates/fakes/examples/measure/cold.rs
@@ -16,6 +16,7 @@
         settings::{Backend, Kind},
     },
     std::{
+        cell::{Cell, RefCell},
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
@@ -155,6 +156,8 @@
         let mut slowest = Duration::ZERO;
         let mut total = Duration::ZERO;
         let mut split = 0;
+        let seen = RefCell::new(revisions(&cluster));
+        let reverts = Cell::new(0);
         for number in 0..self.changes {
             let base = cluster.revision();
             let place = "karas-a".to_owned();
@@ -176,7 +179,13 @@
                 let signed = bundle::signed(&cluster.operator, base, rival);
                 cluster.log.push(bundle::record(signed));
             }
-            let everywhere = |c: &Cluster| revisions(c).iter().all(|r| *r > base);
+            let everywhere = |c: &Cluster| {
+                let now = revisions(c);
+                let before = seen.replace(now.clone());
+                let back = before.iter().zip(&now).filter(|(before, now)| now < before);
+                reverts.set(reverts.get() + back.count());
+                now.iter().all(|revision| *revision > base)
+            };
             let took = cluster.until(LIMIT, everywhere).await;
             ensure!(took.is_some(), "a change is not in force everywhere");
             slowest = slowest.max(began.elapsed());
@@ -189,11 +198,12 @@
         }
         println!(
             "result scenario=config changes={} processes={} seconds_max={:.3} seconds_mean={:.3} \
-             reverts=0 races_split={split}",
+             reverts={} races_split={split}",
             self.changes,
             cluster.entries.len() + cluster.agents.len(),
             slowest.as_secs_f64(),
-            total.as_secs_f64() / self.changes as f64
+            total.as_secs_f64() / self.changes as f64,
+            reverts.get()
         );
         cluster.close().await;
         ensure!(split == 0, "processes disagree");
@@ -201,7 +211,7 @@
     }
 }
 
-/// Revisions in force at every process; each asserts that its own never goes down.
+/// Revisions in force at every process, always in the same order.
 fn revisions(cluster: &Cluster) -> Vec<u64> {
     let entries = cluster
         .entries
