--- a/crates/agent/src/args.rs
+++ b/crates/agent/src/args.rs
@@ -3,7 +3,8 @@
 use {clap::Parser, std::path::PathBuf};
 
 /// Process of jayspread in a backend server host's slot.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(name = "jayspread-agent", version)]
 pub struct Args {
     /// Settings file, JSON with comments.
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -165,9 +165,8 @@
         let Some(bundle) = &state.bundle else {
             return;
         };
-        let job = Job::new(&self.shared, Arc::clone(bundle), self.present());
-        let task = tokio::spawn(Arc::clone(&job).run());
-        self.job = Some((job, task));
+        let bundle = Arc::clone(bundle);
+        self.job = Some(Job::start(&self.shared, bundle, self.present()));
     }
 
     fn want(&self, bundle: &Bundle, fence: Revision) -> Want {
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -76,7 +76,8 @@
 }
 
 /// State of an engine as JSON.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct State {
     /// Random number of the engine's present life.
     pub boot: u64,
@@ -92,7 +93,8 @@
 }
 
 /// A load order as JSON.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Order {
     /// Version to load.
     pub version: String,
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -25,7 +25,11 @@
         },
         time::Duration,
     },
-    tokio::{sync::Semaphore, task::JoinSet, time},
+    tokio::{
+        sync::Semaphore,
+        task::{JoinHandle, JoinSet},
+        time,
+    },
 };
 
 /// Chunks fetched at once from the origin.
@@ -56,6 +60,17 @@
     Limited(Duration),
 }
 
+/// How a source is asked for a chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Manner {
+    /// Whether it has the chunk already.
+    Probe,
+    /// It should have the chunk or be fetching it.
+    Expect,
+    /// It must obtain the chunk in place of the source that should have it.
+    Acquire,
+}
+
 /// Fetching one version.
 pub struct Job {
     shared: Arc<Shared>,
@@ -76,12 +91,12 @@
 }
 
 impl Job {
-    /// Prepares fetching `bundle`, of which `present` chunks are at the engine already.
-    pub fn new(
+    /// Starts fetching `bundle`, of which `present` chunks are at the engine already.
+    pub fn start(
         shared: &Arc<Shared>,
         bundle: Arc<Bundle>,
         present: BTreeMap<ChunkHash, Place>,
-    ) -> Arc<Self> {
+    ) -> (Arc<Self>, JoinHandle<()>) {
         let mut places: BTreeMap<ChunkHash, Vec<Piece>> = BTreeMap::new();
         for piece in bundle.pieces(shared.service()) {
             places.entry(piece.hash).or_default().push(piece);
@@ -106,11 +121,12 @@
         let led = led(&steps);
         lock(&shared.chunks).adopt(&job.bundle.version, lengths, led, clock::now());
         shared.arrived.notify_waiters();
-        job
+        let task = tokio::spawn(Arc::clone(&job).run(steps));
+        (job, task)
     }
 
     /// Plans anew from the present roster and returns the steps in order.
-    pub fn replan(&self) -> Vec<Step> {
+    fn replan(&self) -> Vec<Step> {
         let place = &self.shared.settings.place;
         let me = Peer {
             host: place.host.clone(),
@@ -154,9 +170,8 @@
     }
 
     /// Fetches and stages everything; ends when the version is complete.
-    pub async fn run(self: Arc<Self>) {
+    async fn run(self: Arc<Self>, steps: Vec<Step>) {
         let began = clock::now();
-        let steps = self.replan();
         self.dial_far(&steps);
         let mut tasks = JoinSet::new();
         for step in steps {
@@ -267,18 +282,21 @@
             if self.skips(step, source) {
                 continue;
             }
-            // A source in place of the one that should have the chunk must obtain it.
-            let probe = self.probes(step, source);
+            let probe = step.sources[..step.probes].contains(source);
             if probe && self.probe_misses.load(Ordering::Relaxed) >= PROBES {
                 continue;
             }
-            let acquire = asked && !probe;
+            let manner = match (probe, asked) {
+                (true, _) => Manner::Probe,
+                (false, false) => Manner::Expect,
+                (false, true) => Manner::Acquire,
+            };
             asked |= !probe;
             let Ok(_permit) = self.gate(step, source).acquire().await else {
                 return None;
             };
             loop {
-                match self.try_source(step, source, acquire).await {
+                match self.try_source(step, source, manner).await {
                     Ok(bytes) => {
                         if probe {
                             self.probe_misses.store(0, Ordering::Relaxed);
@@ -327,24 +345,24 @@
         promoted && step.duty == Duty::Member && self.near(host)
     }
 
-    /// Whether a leader only asks whether a host of its data centre has the chunk already.
-    fn probes(&self, step: &Step, source: &Source) -> bool {
-        step.sources[..step.probes].contains(source)
-    }
-
     fn near(&self, host: &Host) -> bool {
         let config = lock(&self.shared.config);
         let member = config.members.get(host);
         member.is_some_and(|m| *m.data_centre == *self.shared.settings.place.data_centre)
     }
 
-    async fn try_source(&self, step: &Step, source: &Source, acquire: bool) -> Result<Bytes, Miss> {
+    async fn try_source(
+        &self,
+        step: &Step,
+        source: &Source,
+        manner: Manner,
+    ) -> Result<Bytes, Miss> {
         if let Some(bytes) = lock(&self.shared.chunks).get(&step.hash) {
             return Ok(bytes);
         }
         let bytes = match source {
             Source::Origin => self.ask_origin(step).await?,
-            Source::Peer(host) => self.ask_peer(step, host, acquire).await?,
+            Source::Peer(host) => self.ask_peer(step, host, manner).await?,
         };
         self.keep(step, source, bytes)
     }
@@ -412,7 +430,7 @@
         self.shared.settings.spread.takeover * TRANSFER_TAKEOVERS
     }
 
-    async fn ask_peer(&self, step: &Step, host: &Host, acquire: bool) -> Result<Bytes, Miss> {
+    async fn ask_peer(&self, step: &Step, host: &Host, manner: Manner) -> Result<Bytes, Miss> {
         let takeover = self.shared.settings.spread.takeover;
         let address = self.address(host).ok_or(Miss::Failed("unknown_peer"))?;
         let session = self
@@ -421,13 +439,13 @@
             .session(&self.shared, host, address, takeover)
             .await;
         let session = session.ok_or(Miss::Failed("unreachable"))?;
-        let probe = self.probes(step, &Source::Peer(host.clone()));
+        let probe = manner == Manner::Probe;
         let wait = if probe { Duration::ZERO } else { takeover };
         let fetch = Fetch {
             version: self.bundle.version.to_string(),
             hash: Bytes::copy_from_slice(&step.hash),
             wait_ms: wait.as_millis() as u32,
-            acquire,
+            acquire: manner == Manner::Acquire,
         };
         let exchange = async {
             let mut reader = session.ask(ask::Kind::Fetch(fetch)).await.ok()?;
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -6,7 +6,6 @@
     jayspread_agent::{Process, args::Args},
     jayspread_core::chunk::Policy,
     jayspread_net::{
-        admin::View,
         cert,
         signal::{Signals, Wish},
         telemetry,
@@ -55,9 +54,7 @@
     let process = Process::open(settings, &tls, runtime, Policy::Trade)
         .await
         .wrap_err("could not start")?;
-    while signals.next().await == Wish::Dump {
-        eprintln!("{:#}", process.shared().dump());
-    }
+    signals.stop(&**process.shared()).await;
     let shared = Arc::clone(process.shared());
     tokio::select! {
         _ = process.close() => {}
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -10,7 +10,8 @@
 };
 
 /// Label of a counter by reason.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub struct Reason {
     /// Short reason.
     pub reason: String,
--- a/crates/core/src/chunk.rs
+++ b/crates/core/src/chunk.rs
@@ -115,7 +115,7 @@
         if count == 0 {
             return Vec::new();
         }
-        let first = chunk.position * count / chunk.of;
+        let first = self.first_index(chunk);
         let step = 1 + chunk.spread % count.max(2).saturating_sub(1);
         let indices = (0..CANDIDATES.min(count)).scan(first, |index, turn| {
             let found = *index;
@@ -133,7 +133,11 @@
     }
 
     fn leader(&self, chunk: &Ranked) -> Option<&Host> {
-        self.candidates(chunk).into_iter().next()
+        self.members.get(self.first_index(chunk))
+    }
+
+    fn first_index(&self, chunk: &Ranked) -> usize {
+        chunk.position * self.members.len() / chunk.of
     }
 }
 
--- a/crates/entry/src/args.rs
+++ b/crates/entry/src/args.rs
@@ -7,7 +7,8 @@
 };
 
 /// Weight distribution system for bursts: entry host and operators' commands.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(name = "jayspread", version)]
 pub struct Cli {
     /// What to do.
@@ -16,7 +17,8 @@
 }
 
 /// Commands.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub enum Command {
     /// Run the process of an entry host.
     Entry(Entry),
@@ -39,7 +41,8 @@
 }
 
 /// Run the process of an entry host.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct Entry {
     /// Settings file, JSON with comments.
     #[arg(long, value_name = "FILE")]
@@ -47,7 +50,8 @@
 }
 
 /// Where operators' commands find the platform and whose signatures count.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct Platform {
     /// Settings file of an entry host.
     #[arg(long, value_name = "FILE")]
@@ -55,7 +59,8 @@
 }
 
 /// How results are printed.
-#[derive(Debug, Clone, Copy, Args)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Args)]
 pub struct Output {
     /// Print JSON.
     #[arg(long)]
@@ -63,7 +68,8 @@
 }
 
 /// Who signs a change.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct Signer {
     /// File with the operator's private key.
     #[arg(long, value_name = "FILE")]
@@ -74,7 +80,8 @@
 }
 
 /// Make, check, sign and roll versioned bundles.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub enum Bundle {
     /// Make a bundle from a description and files of weights.
     New(BundleNew),
@@ -91,7 +98,8 @@
 }
 
 /// Make a bundle from a description and files of weights.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct BundleNew {
     /// Description: JSON with comments, naming files of weights.
     #[arg(value_name = "DESCRIPTION")]
@@ -105,7 +113,8 @@
 }
 
 /// Check a bundle.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct BundleCheck {
     /// Bundle file.
     #[arg(value_name = "FILE")]
@@ -113,7 +122,8 @@
 }
 
 /// Sign a bundle as the next change.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct BundleSign {
     /// Bundle file.
     #[arg(value_name = "FILE")]
@@ -133,7 +143,8 @@
 }
 
 /// Roll a signed bundle, or roll back to an earlier version.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct BundleRoll {
     /// Signed file.
     #[arg(value_name = "FILE", required_unless_present = "back")]
@@ -164,7 +175,8 @@
 }
 
 /// Show what is in force and how far it has come.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct BundleStatus {
     /// Where to find the platform and the entry host.
     #[command(flatten)]
@@ -175,7 +187,8 @@
 }
 
 /// Show the changes in the log.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct BundleHistory {
     /// Where to find the platform.
     #[command(flatten)]
@@ -186,7 +199,8 @@
 }
 
 /// Take data centres out and bring them back.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub enum DataCentre {
     /// Take a data centre out: it gets no new work.
     Out(DataCentreMove),
@@ -197,7 +211,8 @@
 }
 
 /// Move a data centre.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct DataCentreMove {
     /// Name of the data centre.
     pub name: String,
@@ -213,7 +228,8 @@
 }
 
 /// Make keys.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub enum Key {
     /// Make an operator's key; prints the public key for the settings.
     New(KeyNew),
@@ -224,7 +240,8 @@
 }
 
 /// Make an operator's key.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct KeyNew {
     /// File to write the private key to.
     #[arg(value_name = "FILE")]
@@ -232,7 +249,8 @@
 }
 
 /// Make a certificate authority for the hosts.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct KeyAuthority {
     /// Folder to write authority.pem and authority.key to.
     #[arg(value_name = "FOLDER")]
@@ -240,7 +258,8 @@
 }
 
 /// Issue a certificate and key for a host.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct KeyHost {
     /// Name of the host.
     pub host: String,
@@ -250,7 +269,8 @@
 }
 
 /// Print the state of a running process.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct Dump {
     /// Administration address of the process.
     #[arg(value_name = "IP:PORT")]
@@ -258,14 +278,16 @@
 }
 
 /// Work with settings files.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub enum Settings {
     /// Check a settings file of either process.
     Check(SettingsCheck),
 }
 
 /// Check a settings file of either process.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct SettingsCheck {
     /// Settings file.
     #[arg(value_name = "FILE")]
@@ -273,7 +295,8 @@
 }
 
 /// Print completions for a shell.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct Completions {
     /// Shell.
     pub shell: Shell,
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -346,7 +346,7 @@
         loop {
             let kind = match self.next(&mut reader, sink).await {
                 Ok(Some(kind)) => kind,
-                Ok(None) => return Step::Done(self.late(&mut reader).await),
+                Ok(None) => return Step::Done(self.late().await),
                 Err(_) => return Step::Broken,
             };
             match kind {
@@ -394,7 +394,7 @@
     }
 
     /// Tries to prove at the deadline that the request has not started.
-    async fn late(&self, _reader: &mut Reader) -> Ending {
+    async fn late(&self) -> Ending {
         let unknown = Ending::Unknown("deadline passed".into());
         let Some(session) = self.link.session() else {
             return unknown;
--- a/crates/entry/src/cmd/bundle_new.rs
+++ b/crates/entry/src/cmd/bundle_new.rs
@@ -31,7 +31,8 @@
 const ANSWER_MAX: usize = 64 * 1024;
 
 /// Description of a bundle, JSON with comments.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Description {
     version: String,
@@ -44,7 +45,8 @@
     data_centres: Vec<DataCentreLine>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ArtifactFile {
     name: String,
@@ -56,7 +58,8 @@
     chunk_bytes: u32,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ServiceLine {
     name: String,
@@ -68,7 +71,8 @@
     floor_percent: u32,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct OrganisationLine {
     name: String,
@@ -76,7 +80,8 @@
     weight: u32,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct DataCentreLine {
     name: String,
--- a/crates/entry/src/cmd/entry.rs
+++ b/crates/entry/src/cmd/entry.rs
@@ -10,7 +10,6 @@
     eyre::{Result, WrapErr},
     jayspread_core::route::Policy,
     jayspread_net::{
-        admin::View,
         cert,
         signal::{Signals, Wish},
         telemetry,
@@ -32,9 +31,7 @@
         let process = Process::open(settings, &tls, runtime, Policy::TwoChoices)
             .await
             .wrap_err("could not start")?;
-        while signals.next().await == Wish::Dump {
-            eprintln!("{:#}", process.shared().dump());
-        }
+        signals.stop(&**process.shared()).await;
         stop(process, signals).await;
         Ok(())
     }
--- a/crates/entry/src/hosts.rs
+++ b/crates/entry/src/hosts.rs
@@ -30,7 +30,8 @@
 }
 
 /// One host as JSON.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Line {
     /// Name of the host.
     pub host: String,
--- a/crates/entry/src/log.rs
+++ b/crates/entry/src/log.rs
@@ -48,14 +48,16 @@
 }
 
 /// Answer to an append as JSON.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 pub struct Appended {
     /// Position of the record.
     pub offset: Offset,
 }
 
 /// A record as JSON.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Line {
     /// Position.
     pub offset: Offset,
@@ -64,7 +66,8 @@
 }
 
 /// Answer to a read as JSON.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Lines {
     /// First position kept.
     pub first: Offset,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -22,7 +22,8 @@
 const BUCKETS: u16 = 16;
 
 /// Label of a counter by reason.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub struct Reason {
     /// Short reason.
     pub reason: String,
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -8,7 +8,8 @@
 };
 
 /// Whether a refused request has run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Ran {
     /// Proven not to have run, and never to run.
--- a/crates/fakes/examples/demo.rs
+++ b/crates/fakes/examples/demo.rs
@@ -40,7 +40,8 @@
 const NO_NEW_WORK: Duration = Duration::from_secs(3);
 
 /// Builds a small deployment on loopback and shows what jayspread does.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 struct Args {
     /// Leave it running at the end and print addresses.
     #[arg(long)]
--- a/crates/fakes/examples/measure/cold.rs
+++ b/crates/fakes/examples/measure/cold.rs
@@ -36,7 +36,8 @@
 const LIMIT: Duration = Duration::from_secs(20);
 
 /// Load on a cold backend server before many entry hosts.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
+#[derive(Args)]
 pub struct Cold {
     /// Entry hosts.
     #[arg(long, default_value_t = 9)]
@@ -132,7 +133,8 @@
 }
 
 /// Time until changes are in force, with racing operators and a log outage.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
+#[derive(Args)]
 pub struct Config {
     /// Changes.
     #[arg(long, default_value_t = 200)]
--- a/crates/fakes/examples/measure/control.rs
+++ b/crates/fakes/examples/measure/control.rs
@@ -42,7 +42,8 @@
 const CONNECT_MAX: Duration = Duration::from_secs(30);
 
 /// Processor time, memory and bytes of one process against the number of its peers.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
+#[derive(Args)]
 pub struct Control {
     /// Numbers of peers.
     #[arg(long, value_delimiter = ',', default_values_t = [10, 50, 200])]
--- a/crates/fakes/examples/measure/main.rs
+++ b/crates/fakes/examples/measure/main.rs
@@ -23,7 +23,8 @@
 };
 
 /// Measures jayspread on one machine.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 struct Cli {
     /// Log level of the processes.
     #[arg(long, default_value = "error", global = true)]
@@ -34,7 +35,8 @@
 }
 
 /// Scenarios.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 enum Scenario {
     /// Time to N replicas and bytes over each link.
     Rollout(rollout::Rollout),
--- a/crates/fakes/examples/measure/moves.rs
+++ b/crates/fakes/examples/measure/moves.rs
@@ -25,7 +25,8 @@
 const NO_NEW_WORK_MAX: f64 = 3.0;
 
 /// Service while a data centre leaves and returns.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
+#[derive(Args)]
 pub struct Move {
     /// Requests a second.
     #[arg(long, default_value_t = 300)]
--- a/crates/fakes/examples/measure/once.rs
+++ b/crates/fakes/examples/measure/once.rs
@@ -32,7 +32,8 @@
 const SETTLE: Duration = Duration::from_secs(3);
 
 /// Non-repeatable calls under faults.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
+#[derive(Args)]
 pub struct Once {
     /// Calls with a key.
     #[arg(long, default_value_t = 100_000)]
--- a/crates/fakes/examples/measure/overhead.rs
+++ b/crates/fakes/examples/measure/overhead.rs
@@ -26,7 +26,8 @@
 const TOKENS: usize = 50;
 
 /// What the path adds to a request and to a token.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
+#[derive(Args)]
 pub struct Overhead {
     /// Requests a second in all.
     #[arg(long, default_value_t = 200)]
--- a/crates/fakes/examples/measure/planner.rs
+++ b/crates/fakes/examples/measure/planner.rs
@@ -19,7 +19,8 @@
 const REGIONS_MAX: usize = 6;
 
 /// The chunk plan alone, at sizes beyond one machine.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
+#[derive(Args)]
 pub struct Planner {
     /// Hosts.
     #[arg(long, default_value_t = 2100)]
--- a/crates/fakes/examples/measure/rollout.rs
+++ b/crates/fakes/examples/measure/rollout.rs
@@ -28,7 +28,8 @@
 const REGIONS_MAX: usize = 6;
 
 /// Time to N replicas and bytes over each link.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
+#[derive(Args)]
 pub struct Rollout {
     /// Backend servers.
     #[arg(long, default_value_t = 48)]
--- a/crates/fakes/examples/measure/walk.rs
+++ b/crates/fakes/examples/measure/walk.rs
@@ -8,7 +8,8 @@
 };
 
 /// Long random walks through the core's state machines, with the invariants asserted.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
+#[derive(Args)]
 pub struct Walk {
     /// Seed.
     #[arg(long, default_value_t = 1)]
--- a/crates/fakes/examples/platform.rs
+++ b/crates/fakes/examples/platform.rs
@@ -15,7 +15,8 @@
 };
 
 /// Stand-ins of the platform and of backend servers on loopback.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 struct Args {
     /// Address of the log service.
     #[arg(long, default_value = "127.0.0.1:7000")]
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -95,7 +95,8 @@
 }
 
 /// Books of one stand-in.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Books {
     /// Loads of something that is no whole version.
     pub partial: u64,
@@ -136,7 +137,8 @@
 }
 
 /// A request to generate text.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Prompt {
     /// Prompt.
     pub prompt: String,
@@ -148,7 +150,8 @@
 }
 
 /// A request with an effect.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Effect {
     /// Name of the effect.
     pub effect: String,
--- a/crates/net/src/signal.rs
+++ b/crates/net/src/signal.rs
@@ -1,6 +1,7 @@
 //! Signals: SIGTERM and SIGINT stop, a second one ends at once, SIGUSR1 dumps the state.
 
 use {
+    crate::admin::View,
     std::io,
     tokio::signal::unix::{Signal, SignalKind, signal},
 };
@@ -31,6 +32,13 @@
         })
     }
 
+    /// Waits for a stop, writing state dumps on request meanwhile.
+    pub async fn stop(&mut self, view: &impl View) {
+        while self.next().await == Wish::Dump {
+            eprintln!("{:#}", view.dump());
+        }
+    }
+
     /// Waits for the next wish.
     pub async fn next(&mut self) -> Wish {
         tokio::select! {
