--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peers;
 pub mod process;
 pub mod shared;
+pub mod slot;
 pub mod store;
 pub mod upload;
 pub mod work;
--- /dev/null
+++ b/crates/agent/src/slot/control.rs
@@ -0,0 +1,382 @@
+//! The control loop: reads the engine, follows the versions named, stages pieces and orders loads.
+
+use {
+    crate::{
+        shared::lock,
+        slot::{fetch, pieces::digest, tables::Slot},
+    },
+    jayspread_core::{
+        load::{Action, Event, Loader, Machine, Report, Want},
+        swap::Turn,
+        target::Named,
+    },
+    jayspread_net::{clock, event},
+    jayspread_platform::{
+        Error,
+        engine::{Client, Ordered, State},
+    },
+    std::{
+        collections::BTreeSet,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{task::JoinHandle, time},
+};
+
+/// Interval of reading the engine.
+const READ: Duration = Duration::from_millis(50);
+/// Time after which an order that was sent can have no effect any more.
+const SETTLE: Duration = Duration::from_millis(700);
+/// Time before an order in which entry hosts learn that the engine takes no new work.
+const NOTICE: Duration = Duration::from_millis(100);
+/// Reads in a row that fail before the engine counts as silent.
+const FAILURES: u32 = 2;
+/// Time from the naming of a version until its pieces are usually staged.
+const USUALLY_STAGED: Duration = Duration::from_millis(4_500);
+
+/// State of the loop.
+pub struct Control {
+    slot: Arc<Slot>,
+    client: Client,
+    loader: Loader,
+    /// The version that is loaded next.
+    want: Option<Named>,
+    /// The version whose pieces are fetched.
+    job: Option<(u64, JoinHandle<()>)>,
+    /// Version whose pieces are staged and checked.
+    staged: Option<u64>,
+    /// An order that the machine wants sent.
+    ordered: Option<Want>,
+    failures: u32,
+    /// Time since which entry hosts know that the engine takes no new work.
+    closed: Option<Instant>,
+}
+
+impl Control {
+    /// Creates the loop's state.
+    pub fn new(slot: &Arc<Slot>) -> Self {
+        Self {
+            slot: Arc::clone(slot),
+            client: Client::new(slot.engine),
+            loader: Loader::new(Machine::new(false, SETTLE)),
+            want: None,
+            job: None,
+            staged: None,
+            ordered: None,
+            failures: 0,
+            closed: None,
+        }
+    }
+
+    /// Runs until the task is aborted.
+    pub async fn run(mut self) {
+        let mut interval = time::interval(READ);
+        interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut named = self.slot.named.subscribe();
+        loop {
+            tokio::select! {
+                _ = interval.tick() => {}
+                changed = named.changed() => if changed.is_err() { return },
+            }
+            self.read().await;
+            self.follow();
+            self.prepare().await;
+            self.drive().await;
+        }
+    }
+
+    /// Reads the engine's state and tells the machine.
+    async fn read(&mut self) {
+        match self.client.state().await {
+            Ok(state) => {
+                self.failures = 0;
+                self.saw(state);
+            }
+            Err(cause) => self.unread(&cause),
+        }
+    }
+
+    fn saw(&mut self, state: State) {
+        let mut seen = lock(&self.slot.seen);
+        let (before, answered) = (seen.version(), seen.answers);
+        seen.answers = true;
+        seen.state = Some(state.clone());
+        let version = seen.version();
+        drop(seen);
+        if version != before || !answered {
+            event!(
+                Info,
+                "engine",
+                answers = true,
+                version = version,
+                was = before,
+                born_ms = state.born_ms,
+                busy = state.busy
+            );
+            self.slot.news.notify_one();
+            self.served(version);
+        }
+        let serving = (version > 0).then(|| version.to_string().into());
+        let report = Report {
+            boot: state.born_ms,
+            serving,
+            loading: state.busy,
+            fence: version,
+        };
+        self.handle(&Event::Report(report));
+    }
+
+    /// Notes how long a version took from its naming.
+    fn served(&self, version: u64) {
+        let Some(want) = self.want.filter(|w| w.version == version) else {
+            return;
+        };
+        let took = clock::now().saturating_duration_since(want.since);
+        self.slot.metrics.served.observe(took.as_secs_f64());
+    }
+
+    fn unread(&mut self, cause: &Error) {
+        self.failures += 1;
+        self.slot.metrics.reads_failed.inc();
+        if self.failures < FAILURES {
+            return;
+        }
+        let mut seen = lock(&self.slot.seen);
+        if !std::mem::replace(&mut seen.answers, false) {
+            return;
+        }
+        drop(seen);
+        event!(Warn, "engine", answers = false, reason = cause);
+        self.slot.news.notify_one();
+    }
+
+    /// Takes up a version that was named.
+    fn follow(&mut self) {
+        let Some(source) = self.slot.source() else {
+            return;
+        };
+        let Some(newest) = lock(&self.slot.targets).newest(&source.model) else {
+            return;
+        };
+        self.fetch(newest.version);
+        if !self.yields_to(newest) {
+            return;
+        }
+        self.want = Some(newest);
+        self.staged = None;
+        let version: Box<str> = newest.version.to_string().into();
+        let want = Want {
+            same: BTreeSet::from([version.clone()]),
+            version,
+            fence: newest.version,
+            pieces: 0,
+        };
+        event!(Info, "version_wanted", version = newest.version);
+        self.handle(&Event::Want(want));
+    }
+
+    /// Whether the version wanted so far gives way to a newer one: it is served, or the newer one
+    /// will be there before the bound of the older.
+    fn yields_to(&self, newest: Named) -> bool {
+        let Some(want) = self.want else {
+            return true;
+        };
+        if newest.version <= want.version {
+            return false;
+        }
+        let serves = lock(&self.slot.seen).version() >= want.version;
+        let bound = want.since + self.slot.settings.bounds.version;
+        serves || self.staged.is_none() || newest.since + USUALLY_STAGED <= bound
+    }
+
+    /// Fetches the newest version unless the engine serves it or its pieces are held.
+    fn fetch(&mut self, version: u64) {
+        let serves = lock(&self.slot.seen).version() >= version;
+        let running = self
+            .job
+            .as_ref()
+            .is_some_and(|(of, task)| *of == version && !task.is_finished());
+        let complete = lock(&self.slot.pieces).complete(version);
+        let unread = lock(&self.slot.seen).state.is_none();
+        if serves || running || complete || unread {
+            return;
+        }
+        if let Some((_, task)) = self.job.take() {
+            task.abort();
+        }
+        lock(&self.slot.pieces).reclaim(version);
+        event!(Info, "fetching", version = version);
+        let task = tokio::spawn(fetch::run(Arc::clone(&self.slot), version));
+        self.job = Some((version, task));
+    }
+
+    /// Stages the wanted version once its pieces are there, and asks for the turn.
+    async fn prepare(&mut self) {
+        let Some(want) = self.want else {
+            return;
+        };
+        let serves = lock(&self.slot.seen).version();
+        if serves >= want.version || !lock(&self.slot.pieces).complete(want.version) {
+            return;
+        }
+        if self.staged != Some(want.version) || !self.loader.complete() {
+            if !self.stage(want.version).await {
+                return;
+            }
+            self.staged = Some(want.version);
+            let took = clock::now().saturating_duration_since(want.since);
+            self.slot.metrics.staged.observe(took.as_secs_f64());
+            event!(
+                Info,
+                "staged",
+                version = want.version,
+                after_ms = took.as_millis()
+            );
+            self.handle(&Event::Complete(want.version.to_string().into()));
+        }
+        let waiting = self.slot.waiting(want.version);
+        let turn = Turn {
+            me: &self.slot.settings.host,
+            waiting: &waiting,
+            serves,
+            version: want.version,
+            named: want.since,
+            bound: self.slot.settings.bounds.version,
+        };
+        let granted = clock::now() >= turn.due();
+        self.handle(&Event::Grant(granted));
+    }
+
+    /// Puts all pieces into the engine's staging area.
+    async fn stage(&mut self, version: u64) -> bool {
+        let Some(manifest) = lock(&self.slot.pieces).manifest(version) else {
+            return false;
+        };
+        for index in 0..manifest.digests.len() {
+            if !self.stage_piece(version, index).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn stage_piece(&mut self, version: u64, index: usize) -> bool {
+        let Some(source) = self.slot.source() else {
+            return false;
+        };
+        let Some(bytes) = lock(&self.slot.pieces).get(version, index) else {
+            return false;
+        };
+        let staged = self.client.stage(&source.model, index, &bytes).await;
+        if let Err(cause) = &staged {
+            event!(Warn, "stage_failed", index = index, reason = cause);
+        }
+        staged.is_ok()
+    }
+
+    /// Reads all staged pieces back and replaces those that are not what they should be.
+    async fn verify(&mut self, version: u64) -> bool {
+        let (Some(source), Some(manifest)) = (
+            self.slot.source(),
+            lock(&self.slot.pieces).manifest(version),
+        ) else {
+            return false;
+        };
+        for (index, expected) in manifest.digests.iter().enumerate() {
+            let staged = self.client.staged(&source.model, index).await;
+            let sound = match &staged {
+                Ok(Some(bytes)) => digest(bytes) == *expected,
+                Ok(None) => false,
+                Err(cause) => {
+                    event!(Warn, "stage_unreadable", index = index, reason = cause);
+                    return false;
+                }
+            };
+            if sound {
+                continue;
+            }
+            self.slot.metrics.rotten.inc();
+            event!(Warn, "staged_piece_bad", version = version, index = index);
+            if !self.stage_piece(version, index).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Lets the machine act.
+    async fn drive(&mut self) {
+        let now = clock::now();
+        if self.closed.is_some_and(|since| now >= since + NOTICE) {
+            self.handle(&Event::Drained);
+        }
+        let actions = self.loader.handle(&Event::Tick, now);
+        self.act(&actions).await;
+    }
+
+    /// Hands an event to the machine and carries out what needs no waiting.
+    fn handle(&mut self, event: &Event) {
+        let actions = self.loader.handle(event, clock::now());
+        self.pending(&actions);
+    }
+
+    fn pending(&mut self, actions: &[Action]) {
+        for action in actions {
+            match action {
+                Action::Pause => self.close(true),
+                Action::Resume(_) => self.close(false),
+                Action::Chill | Action::Read | Action::Order(_) => {}
+            }
+        }
+        if let Some(Action::Order(want)) = actions.iter().find(|a| matches!(a, Action::Order(_))) {
+            self.ordered = Some(want.clone());
+        }
+    }
+
+    fn close(&mut self, closed: bool) {
+        self.closed = closed.then(clock::now);
+        lock(&self.slot.seen).closed = closed;
+        self.slot.news.notify_one();
+    }
+
+    async fn act(&mut self, actions: &[Action]) {
+        self.pending(actions);
+        if let Some(want) = self.ordered.take() {
+            let event = self.order(&want).await;
+            self.handle(&event);
+        }
+    }
+
+    /// Checks what is staged and sends the order.
+    async fn order(&mut self, want: &Want) -> Event {
+        let version = want.fence;
+        let Some(source) = self.slot.source() else {
+            return Event::OrderLost;
+        };
+        if !self.verify(version).await {
+            self.staged = None;
+            return Event::OrderLost;
+        }
+        let state = lock(&self.slot.seen).state.clone();
+        let after = state.map_or(0, |state| state.orders);
+        self.slot.metrics.orders.inc();
+        let ordered = self
+            .client
+            .load(&source.model, version, after, version)
+            .await;
+        event!(
+            Info,
+            "load_ordered",
+            version = version,
+            after_orders = after,
+            result = match &ordered {
+                Ok(ordered) => format!("{ordered:?}"),
+                Err(cause) => cause.to_string(),
+            }
+        );
+        match ordered {
+            Ok(Ordered::Begun | Ordered::Done) => Event::Ordered,
+            Ok(Ordered::Conflict | Ordered::Refused(_)) | Err(_) => Event::OrderLost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/slot/gossip.rs
@@ -0,0 +1,184 @@
+//! Datagrams: versions from entry hosts, the engine's load to them, lists of members.
+
+use {
+    crate::{
+        shared::lock,
+        slot::tables::{Other, Slot, Source},
+    },
+    jayspread_net::{
+        clock, event,
+        members::{self, BEAT},
+    },
+    jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
+    std::{
+        io,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// Shortest time between two reports on a load that changes.
+const REPORT: Duration = Duration::from_millis(60);
+/// Pause after a failed receive, so that a broken socket does not spin.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Receives until the task is aborted.
+pub async fn receive(slot: Arc<Slot>) {
+    let mut buffer = Vec::new();
+    loop {
+        match slot.socket.receive(&mut buffer).await {
+            Ok(packet) => hear(&slot, packet),
+            Err(cause) if cause.kind() == io::ErrorKind::InvalidData => {
+                slot.metrics.nonsense.inc();
+                event!(Warn, "datagram_malformed", reason = cause);
+            }
+            Err(cause) => {
+                event!(Warn, "receive_failed", reason = cause);
+                time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn hear(slot: &Slot, packet: Packet) {
+    if *packet.host == *slot.settings.host {
+        return;
+    }
+    let now = clock::now();
+    lock(&slot.roster).hear(&packet, now);
+    let from = Ipv4Addr::from_bits(packet.address);
+    match packet.body {
+        Some(Body::Hello(_)) => {
+            let list = lock(&slot.roster).list(slot.socket.identity.member());
+            let packet = slot.socket.encode(Body::Members(list));
+            members::send(&slot.socket, &packet, from);
+        }
+        Some(Body::Members(list)) => lock(&slot.roster).named(&list, now),
+        Some(Body::Entry(entry)) => follow(slot, &entry),
+        Some(Body::Engine(engine)) => {
+            let other = Other {
+                version: engine.version,
+                at: now,
+            };
+            lock(&slot.fleet).insert(packet.host.into(), other);
+        }
+        None => {}
+    }
+}
+
+/// Takes the versions that an entry host names for this engine's service.
+fn follow(slot: &Slot, entry: &Entry) {
+    let own = slot.settings.service.as_deref();
+    let fitting = |target: &&Target| own.is_none_or(|own| *own == *target.service);
+    let Some(target) = entry.targets.iter().find(fitting) else {
+        return;
+    };
+    let origin = u16::try_from(target.origin_port).ok();
+    let origin = origin.filter(|port| *port != 0).map(|port| {
+        let ip = Ipv4Addr::from_bits(target.origin_address);
+        SocketAddr::new(IpAddr::V4(ip), port)
+    });
+    let source = Source {
+        model: target.model.as_str().into(),
+        origin,
+        data_centre: target.origin_data_centre.as_str().into(),
+    };
+    let mut known = lock(&slot.source);
+    if known.as_ref() != Some(&source) {
+        event!(
+            Info,
+            "weights_source",
+            model = source.model,
+            origin = format!("{origin:?}")
+        );
+        *known = Some(source);
+    }
+    drop(known);
+    let age = Duration::from_millis(target.age_ms);
+    let now = clock::now();
+    let since = now.checked_sub(age).unwrap_or(now);
+    if lock(&slot.targets).name(&target.model, target.version, since) {
+        event!(
+            Info,
+            "version_named",
+            version = target.version,
+            age_ms = target.age_ms
+        );
+        slot.named.send_modify(|n| *n += 1);
+    }
+}
+
+/// What this agent says of its engine.
+fn state(slot: &Slot) -> Engine {
+    let seen = lock(&slot.seen).clone();
+    let version = seen.version();
+    let (ip, port) = match slot.engine {
+        SocketAddr::V4(address) => (address.ip().to_bits(), address.port()),
+        SocketAddr::V6(_) => (0, 0),
+    };
+    let mut engine = Engine {
+        address: ip,
+        port: port.into(),
+        answers: seen.answers,
+        version,
+        closed: seen.closed,
+        ..Engine::default()
+    };
+    if let Some(state) = seen.state {
+        engine.born_ms = state.born_ms;
+        engine.running = state.load.running;
+        engine.waiting = state.load.waiting;
+        engine.memory_taken = (state.memory * 1e3) as u32;
+        engine.pace = (state.load.pace * 1e2) as u32;
+        engine.closed |= state.busy;
+    }
+    engine
+}
+
+/// Reports the engine's state and ages the roster until the task is aborted.
+pub async fn reports(slot: Arc<Slot>) {
+    let mut last: Option<(Engine, Instant)> = None;
+    let mut beat: Option<Instant> = None;
+    loop {
+        let now = clock::now();
+        let engine = state(&slot);
+        let due = last
+            .as_ref()
+            .is_none_or(|(sent, at)| *sent != engine || now >= *at + BEAT);
+        let beats = beat.is_none_or(|at| now >= at + BEAT);
+        let turned = last.as_ref().is_some_and(|(sent, _)| {
+            (sent.version, sent.answers) != (engine.version, engine.answers)
+        });
+        if due {
+            report(&slot, &engine, beats || turned);
+            last = Some((engine, now));
+        }
+        if beats {
+            beat = Some(now);
+            let mut roster = lock(&slot.roster);
+            roster.tick(now);
+            members::ask(&slot.socket, &mut roster);
+        }
+        tokio::select! {
+            () = time::sleep(REPORT) => {}
+            () = slot.news.notified() => {}
+        }
+    }
+}
+
+/// Sends a report to all entry hosts, and to the other agents where they should know.
+fn report(slot: &Slot, engine: &Engine, agents: bool) {
+    let me = slot.socket.identity.address;
+    let roster = lock(&slot.roster);
+    let mut to = roster.addresses(Role::Entry, me);
+    if agents {
+        to.extend(roster.addresses(Role::Agent, me));
+    }
+    drop(roster);
+    let packet = slot.socket.encode(Body::Engine(engine.clone()));
+    for address in to {
+        members::send(&slot.socket, &packet, address);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/slot/pieces.rs
@@ -0,0 +1,110 @@
+//! Pieces of versions held in memory while they spread.
+
+use {
+    bytes::Bytes,
+    jayspread_core::id::ChunkHash,
+    jayspread_platform::origin::Manifest,
+    sha2::{Digest, Sha256},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Versions held at once: the one that is loaded next and a newer one that is fetched meanwhile.
+const VERSIONS: usize = 2;
+
+/// SHA-256 of bytes, the digest that manifests hold.
+pub fn digest(bytes: &[u8]) -> ChunkHash {
+    Sha256::digest(bytes).into()
+}
+
+/// Pieces of one version.
+#[derive(Debug)]
+struct Held {
+    manifest: Arc<Manifest>,
+    pieces: Vec<Option<Bytes>>,
+    /// The memory was given back; the engine's staging area has them.
+    released: bool,
+}
+
+/// All pieces held.
+#[derive(Debug, Default)]
+pub struct Pieces {
+    versions: BTreeMap<u64, Held>,
+}
+
+impl Pieces {
+    /// Makes room for a version, forgetting the oldest one.
+    pub fn open(&mut self, manifest: &Arc<Manifest>) {
+        let count = manifest.digests.len();
+        self.versions
+            .entry(manifest.version)
+            .or_insert_with(|| Held {
+                manifest: Arc::clone(manifest),
+                pieces: vec![None; count],
+                released: false,
+            });
+        while self.versions.len() > VERSIONS {
+            self.versions.pop_first();
+        }
+    }
+
+    /// Manifest of a version.
+    pub fn manifest(&self, version: u64) -> Option<Arc<Manifest>> {
+        self.versions
+            .get(&version)
+            .map(|held| Arc::clone(&held.manifest))
+    }
+
+    /// A piece in memory.
+    pub fn get(&self, version: u64, index: usize) -> Option<Bytes> {
+        self.versions.get(&version)?.pieces.get(index)?.clone()
+    }
+
+    /// Keeps a piece if it has the digest that the manifest states.
+    pub fn keep(&mut self, version: u64, index: usize, bytes: &Bytes) -> bool {
+        let Some(held) = self.versions.get_mut(&version) else {
+            return false;
+        };
+        let expected = held.manifest.digests.get(index);
+        if expected.is_none_or(|expected| digest(bytes) != *expected) {
+            return false;
+        }
+        held.pieces[index] = Some(bytes.clone());
+        true
+    }
+
+    /// Whether all pieces of a version are in memory.
+    pub fn complete(&self, version: u64) -> bool {
+        let held = self.versions.get(&version);
+        held.is_some_and(|held| held.pieces.iter().all(Option::is_some))
+    }
+
+    /// Gives back the memory of a version whose pieces the engine has staged.
+    pub fn release(&mut self, version: u64) {
+        if let Some(held) = self.versions.get_mut(&version) {
+            held.pieces.iter_mut().for_each(|piece| *piece = None);
+            held.released = true;
+        }
+    }
+
+    /// Whether the engine's staging area is the place to look for a version.
+    pub fn released(&self, version: u64) -> bool {
+        self.versions
+            .get(&version)
+            .is_some_and(|held| held.released)
+    }
+
+    /// Takes a version up again whose staged pieces were lost.
+    pub fn reclaim(&mut self, version: u64) {
+        if let Some(held) = self.versions.get_mut(&version) {
+            held.released = false;
+        }
+    }
+
+    /// Versions and how many of their pieces are in memory.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, usize)> {
+        self.versions.iter().map(|(version, held)| {
+            let count = held.pieces.iter().filter(|piece| piece.is_some()).count();
+            (*version, count)
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine.rs
@@ -0,0 +1,271 @@
+//! An engine as one entry host sees it: what the platform lists, what its agent reports, and what
+//! this host has in flight there.
+
+use {
+    crate::{
+        catalog::Speed,
+        id::{DataCentre, Engine as Id, Region, Service},
+        trust::Trust,
+        window::Window,
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Age from which a report says nothing about the present load.
+const REPORT_STALE: Duration = Duration::from_millis(1_500);
+/// Window of the bound on requests to a cold engine.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+/// Share of a pass that an arriving request waits on average until the next one begins.
+const PASS_UNDER_WAY: f64 = 0.5;
+/// Share of an engine's time that goes into reading prompts at full load.
+const READING_SHARE: f64 = 0.4;
+
+/// A model version that an engine holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Loaded {
+    /// Name of the model.
+    pub model: Box<str>,
+    /// Number of its version.
+    pub version: u64,
+    /// Whether the engine holds all layers.
+    pub whole: bool,
+}
+
+/// What the platform lists of one engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listing {
+    /// Id of this life.
+    pub id: Id,
+    /// Service that it runs.
+    pub service: Service,
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Data centre in which it stands.
+    pub data_centre: DataCentre,
+    /// Region of the data centre.
+    pub region: Region,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It is leaving and gets no new work.
+    pub draining: bool,
+    /// How much longer it is cold.
+    pub cold_left: Duration,
+    /// Start of its life, Unix milliseconds, where it says so.
+    pub born_ms: Option<u64>,
+    /// Whether it is a model engine.
+    pub model_engine: bool,
+    /// The version that it holds.
+    pub loaded: Option<Loaded>,
+}
+
+/// Load of an engine at one moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests that have not begun.
+    pub waiting: u32,
+    /// Slowness against the published speed; 1 is the usual pace.
+    pub pace: f64,
+}
+
+/// What an agent says of the engine beside it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    /// Whether the engine answers.
+    pub answers: bool,
+    /// Load.
+    pub load: Load,
+    /// Version that it serves whole, if any.
+    pub version: Option<u64>,
+    /// It takes no new work for now.
+    pub closed: bool,
+}
+
+/// A load and what this host had in flight when it was seen.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    load: Load,
+    own: u32,
+    at: Instant,
+}
+
+/// One engine.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// What the platform lists.
+    pub listing: Listing,
+    /// Whether answers of this engine can be relied on.
+    pub trust: Trust,
+    /// Requests of this host in flight.
+    pub own: u32,
+    /// Connections of this host.
+    pub connections: u32,
+    seen: Option<Seen>,
+    /// Time and content of the last report of its agent.
+    report: Option<(Instant, Report)>,
+    cold_until: Instant,
+    recent: Window,
+}
+
+impl Engine {
+    /// Creates an engine that has just been listed.
+    pub fn new(listing: Listing, now: Instant) -> Self {
+        let cold_until = now + listing.cold_left;
+        Self {
+            listing,
+            trust: Trust::default(),
+            own: 0,
+            connections: 0,
+            seen: None,
+            report: None,
+            cold_until,
+            recent: Window::new(COLD_WINDOW),
+        }
+    }
+
+    /// Takes a changed listing of the same life.
+    pub fn list(&mut self, listing: Listing, now: Instant) {
+        if !listing.cold_left.is_zero() {
+            self.cold_until = self.cold_until.max(now + listing.cold_left);
+        }
+        self.listing = listing;
+    }
+
+    /// Takes its agent's report.
+    pub fn hear(&mut self, report: Report, now: Instant) {
+        self.observe(report.load, now);
+        self.report = Some((now, report));
+    }
+
+    /// Takes the load that an answer of the engine carries.
+    pub fn observe(&mut self, load: Load, now: Instant) {
+        self.seen = Some(Seen {
+            load,
+            own: self.own,
+            at: now,
+        });
+    }
+
+    /// Lengthens the cold time, as a health answer says.
+    pub fn chill(&mut self, left: Duration, now: Instant) {
+        self.cold_until = self.cold_until.max(now + left);
+    }
+
+    /// Counts a request that is about to be sent.
+    pub fn begin(&mut self, now: Instant) {
+        self.own += 1;
+        self.recent.add(now);
+    }
+
+    /// Counts a request that has ended.
+    pub fn end(&mut self) {
+        self.own = self.own.checked_sub(1).expect("request was counted once");
+    }
+
+    /// Whether a report of its agent younger than `age` says that it answers.
+    pub fn vouched(&self, age: Duration, now: Instant) -> bool {
+        let fresh = |(at, report): &(Instant, Report)| {
+            report.answers && now.saturating_duration_since(*at) < age
+        };
+        self.report.as_ref().is_some_and(fresh)
+    }
+
+    /// Age of the load that decisions are based on.
+    pub fn load_age(&self, now: Instant) -> Option<Duration> {
+        let seen = self.seen?;
+        Some(now.saturating_duration_since(seen.at))
+    }
+
+    /// Version that it serves whole, as heard last.
+    pub fn version(&self, now: Instant) -> Option<u64> {
+        if let Some((at, report)) = &self.report
+            && now.saturating_duration_since(*at) < REPORT_STALE
+        {
+            return report.version;
+        }
+        let loaded = self.listing.loaded.as_ref()?;
+        loaded.whole.then_some(loaded.version)
+    }
+
+    /// Whether its agent says that it takes no work.
+    pub fn shut(&self, now: Instant) -> bool {
+        let shut = |(at, report): &(Instant, Report)| {
+            let fresh = now.saturating_duration_since(*at) < REPORT_STALE;
+            fresh && (report.closed || !report.answers)
+        };
+        self.report.as_ref().is_some_and(shut)
+    }
+
+    /// Requests running and waiting there now; `hosts` send to it about equally.
+    pub fn occupancy(&self, hosts: usize, now: Instant) -> u32 {
+        let blind = self.own * hosts.max(1) as u32;
+        let Some(seen) = self.seen else {
+            return blind;
+        };
+        if now.saturating_duration_since(seen.at) > REPORT_STALE {
+            return blind;
+        }
+        let reported = seen.load.running + seen.load.waiting;
+        (reported + self.own).saturating_sub(seen.own).max(self.own)
+    }
+
+    /// Requests that have not begun there now.
+    fn pending(&self, now: Instant) -> u32 {
+        let Some(seen) = self.seen else {
+            return self.own;
+        };
+        if now.saturating_duration_since(seen.at) > REPORT_STALE {
+            return self.own.min(1);
+        }
+        seen.load.waiting + self.own.saturating_sub(seen.own)
+    }
+
+    fn pace(&self) -> f64 {
+        self.seen.map_or(1.0, |seen| seen.load.pace.max(1.0))
+    }
+
+    /// Whether a cold engine bears another request of this host, whose share of the bound is
+    /// `rate` a second.
+    pub fn bears(&mut self, rate: f64, now: Instant) -> bool {
+        if rate <= 0.0 || now >= self.cold_until {
+            return true;
+        }
+        self.recent.count(now) as f64 + 1.0 <= rate.max(1.0)
+    }
+
+    /// Whether the engine counts as cold.
+    pub fn cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+
+    /// Expected time to the first event of a request with `prompt` tokens.
+    pub fn first_event(&self, speed: &Speed, prompt: u32, hosts: usize, now: Instant) -> Duration {
+        let occupancy = self.occupancy(hosts, now);
+        let pending = self.pending(now);
+        let writers = occupancy.saturating_sub(pending).min(speed.slots);
+        let pass = pass(speed, writers) * self.pace();
+        let slots = f64::from(speed.slots.max(1));
+        let ahead = f64::from((occupancy + 1).saturating_sub(speed.slots));
+        let turnover = lifetime(speed) * self.pace() / slots;
+        let unread = f64::from(pending) * f64::from(speed.usual_prompt) + f64::from(prompt);
+        let reading = unread / speed.read_rate.max(1.0) * self.pace();
+        let under_way = if occupancy == 0 { 0.0 } else { PASS_UNDER_WAY };
+        Duration::from_secs_f64(under_way * pass + ahead * turnover + reading + pass)
+    }
+}
+
+/// Time of one pass with so many writing requests, without reading, seconds.
+fn pass(speed: &Speed, writers: u32) -> f64 {
+    let step = speed.step.as_secs_f64() + speed.step_per_writer.as_secs_f64() * f64::from(writers);
+    step * f64::from(speed.steps.max(1))
+}
+
+/// Time that a usual request occupies a slot at full load, seconds.
+fn lifetime(speed: &Speed) -> f64 {
+    let passes = (f64::from(speed.usual_answer) / f64::from(speed.steps.max(1))).max(1.0);
+    passes * pass(speed, speed.slots) / (1.0 - READING_SHARE)
+}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -10,6 +10,8 @@
 pub type Organisation = Box<str>;
 /// Name of a service.
 pub type Service = Box<str>;
+/// Id of one life of an engine, as the platform lists it.
+pub type Engine = Box<str>;
 /// Version name of a bundle.
 pub type Version = Box<str>;
 /// Number of an accepted configuration; only goes up.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,14 +6,23 @@
 
 pub mod admit;
 pub mod bundle;
+pub mod call;
+pub mod catalog;
 pub mod chunk;
 pub mod claim;
 pub mod config;
+pub mod engine;
+pub mod events;
 pub mod fair;
 pub mod id;
 pub mod load;
 pub mod member;
+pub mod place;
 pub mod ramp;
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod swap;
+pub mod target;
+pub mod trust;
+pub mod window;
--- a/crates/entry/src/args.rs
+++ b/crates/entry/src/args.rs
@@ -22,6 +22,8 @@
 pub enum Command {
     /// Run the process of an entry host.
     Entry(Entry),
+    /// Run the process of an entry host on the users' platform.
+    Serve(Serve),
     /// Make, check, sign and roll versioned bundles.
     #[command(subcommand)]
     Bundle(Bundle),
@@ -49,6 +51,18 @@
     pub settings: PathBuf,
 }
 
+/// Run the process of an entry host on the users' platform.
+#[derive(Debug)]
+#[derive(Args)]
+pub struct Serve {
+    /// Settings file, JSON with comments; without it, the one that the platform names.
+    #[arg(long, value_name = "FILE")]
+    pub settings: Option<PathBuf>,
+    /// Check the settings and exit.
+    #[arg(long)]
+    pub check: bool,
+}
+
 /// Where operators' commands find the platform and whose signatures count.
 #[derive(Debug)]
 #[derive(Args)]
--- a/crates/entry/src/cmd/mod.rs
+++ b/crates/entry/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 mod entry;
 mod key;
 mod operator;
+mod serve;
 mod settings;
 
 use {
@@ -42,6 +43,7 @@
     async fn run(&self) -> Result<()> {
         match self {
             Command::Entry(command) => command.run().await,
+            Command::Serve(command) => command.run().await,
             Command::Bundle(Bundle::New(command)) => command.run().await,
             Command::Bundle(Bundle::Check(command)) => command.run().await,
             Command::Bundle(Bundle::Sign(command)) => command.run().await,
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         attempt::{Attempt, Begun, Ending, Sink, Target},
-        metrics::Metrics,
+        metrics,
         once::{self, Claimed, Summary},
         problem::{Problem, Ran},
         shared::{Shared, lock},
@@ -400,5 +400,5 @@
 
 /// Counts a refusal.
 pub fn count(shared: &Shared, problem: &Problem) {
-    Metrics::count(&shared.metrics.refused, problem.kind);
+    metrics::count(&shared.metrics.refused, problem.kind);
 }
--- /dev/null
+++ b/crates/entry/src/front/gossip.rs
@@ -0,0 +1,181 @@
+//! Datagrams: heartbeats to all processes, reports of agents, lists of members.
+
+use {
+    crate::{
+        front::{site::Site, watch},
+        shared::lock,
+    },
+    jayspread_core::{
+        engine::{Load, Report},
+        place::Table,
+    },
+    jayspread_net::{
+        clock, event,
+        members::{self, BEAT},
+    },
+    jayspread_platform::store::Topic,
+    jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
+    std::{
+        collections::BTreeSet,
+        io,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time::{self, Instant},
+};
+
+/// Pause after a failed receive, so that a broken socket does not spin.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Receives until the task is aborted.
+pub async fn receive(site: Arc<Site>) {
+    let mut buffer = Vec::new();
+    loop {
+        match site.socket.receive(&mut buffer).await {
+            Ok(packet) => hear(&site, packet),
+            Err(cause) if cause.kind() == io::ErrorKind::InvalidData => {
+                site.metrics.nonsense.inc();
+                event!(Warn, "datagram_malformed", reason = cause);
+            }
+            Err(cause) => {
+                event!(Warn, "receive_failed", reason = cause);
+                time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn hear(site: &Arc<Site>, packet: Packet) {
+    if *packet.host == *site.settings.host {
+        return;
+    }
+    let now = clock::now();
+    lock(&site.roster).hear(&packet, now);
+    let from = Ipv4Addr::from_bits(packet.address);
+    match packet.body {
+        Some(Body::Hello(_)) => {
+            let list = lock(&site.roster).list(site.socket.identity.member());
+            members::send(&site.socket, &site.socket.encode(Body::Members(list)), from);
+            members::send(&site.socket, &site.socket.encode(beat(site)), from);
+        }
+        Some(Body::Members(list)) => lock(&site.roster).named(&list, now),
+        Some(Body::Entry(entry)) => peer(site, &entry, from),
+        Some(Body::Engine(engine)) => report(site, &engine),
+        None => {}
+    }
+}
+
+/// Compares what a peer has seen of the store with what this host has.
+fn peer(site: &Arc<Site>, entry: &Entry, from: Ipv4Addr) {
+    for target in &entry.targets {
+        let age = Duration::from_millis(target.age_ms);
+        let since = clock::now().checked_sub(age).unwrap_or_else(clock::now);
+        lock(&site.targets).name(&target.model, target.version, since);
+    }
+    let ends = |topic| watch::mirror(site, topic, |m| m.end()).unwrap_or(0);
+    let behind = |topic, end: u64| ends(topic) < end;
+    if behind(Topic::Operator, entry.operator_end) || behind(Topic::Engines, entry.engines_end) {
+        site.behind.send_modify(|n| *n += 1);
+        site.ahead(from, entry.operator_end, entry.engines_end);
+    }
+}
+
+fn report(site: &Site, engine: &Engine) {
+    let address = SocketAddr::new(
+        IpAddr::V4(Ipv4Addr::from_bits(engine.address)),
+        engine.port as u16,
+    );
+    let report = Report {
+        answers: engine.answers,
+        load: Load {
+            running: engine.running,
+            waiting: engine.waiting,
+            pace: f64::from(engine.pace) / 100.0,
+        },
+        version: (engine.version > 0).then_some(engine.version),
+        closed: engine.closed,
+    };
+    lock(&site.table).hear(address, engine.born_ms, report, clock::now());
+}
+
+/// What this host says about itself.
+fn beat(site: &Site) -> Body {
+    let catalog = site.catalog();
+    let origin = catalog.as_ref().and_then(|c| c.origin());
+    let now = clock::now();
+    let mirrors = lock(&site.mirrors);
+    let ends = (mirrors.operator.end(), mirrors.engines.end());
+    drop(mirrors);
+    let mut targets = Vec::new();
+    if let Some(catalog) = &catalog {
+        for backend in catalog.services.values() {
+            let Some(speed) = &backend.speed else {
+                continue;
+            };
+            let named = lock(&site.targets).newest(&speed.model);
+            let age = named.map_or(Duration::ZERO, |n| now.saturating_duration_since(n.since));
+            let (address, port) = match origin.map(|o| o.address) {
+                Some(SocketAddr::V4(address)) => (address.ip().to_bits(), address.port()),
+                _ => (0, 0),
+            };
+            targets.push(Target {
+                service: backend.name.to_string(),
+                model: speed.model.to_string(),
+                // Engines hold version 1 before any is named.
+                version: named.map_or(1, |n| n.version),
+                age_ms: age.as_millis() as u64,
+                origin_address: address,
+                origin_port: port.into(),
+                origin_data_centre: origin.map_or(String::new(), |o| o.data_centre.to_string()),
+            });
+        }
+    }
+    Body::Entry(Entry {
+        revision: catalog.map_or(0, |c| c.revision),
+        operator_end: ends.0.unwrap_or(0),
+        engines_end: ends.1.unwrap_or(0),
+        targets,
+    })
+}
+
+/// Sends heartbeats and ages tables until the task is aborted.
+pub async fn beats(site: Arc<Site>) {
+    loop {
+        tick(&site);
+        let next = Instant::now() + BEAT;
+        tokio::select! {
+            () = time::sleep_until(next) => {}
+            () = site.news.notified() => {}
+        }
+    }
+}
+
+fn tick(site: &Site) {
+    let now = clock::now();
+    let me = site.socket.identity.address;
+    let mut roster = lock(&site.roster);
+    roster.tick(now);
+    members::ask(&site.socket, &mut roster);
+    let mut to = roster.addresses(Role::Entry, me);
+    to.extend(roster.addresses(Role::Agent, me));
+    drop(roster);
+    let packet = site.socket.encode(beat(site));
+    for address in to {
+        members::send(&site.socket, &packet, address);
+    }
+    let mut table = lock(&site.table);
+    for engine in table.sweep(now) {
+        event!(Info, "engine_lapsed", engine = engine);
+    }
+    let listed = listed(&table);
+    drop(table);
+    lock(&site.pool).tidy(&listed);
+}
+
+fn listed(table: &Table) -> BTreeSet<Box<str>> {
+    table
+        .iter()
+        .map(|engine| engine.listing.id.clone())
+        .collect()
+}
--- /dev/null
+++ b/crates/entry/src/front/offer.rs
@@ -0,0 +1,214 @@
+//! One send to one engine, up to the head of its answer.
+
+use {
+    crate::{front::site::Site, shared::lock},
+    jayspread_core::{catalog::Kind, place::Ticket, trust::Verdict},
+    jayspread_net::{
+        channel::{Channel, Error, Head},
+        clock, event,
+    },
+    jayspread_platform::header::{self as wire, Answer},
+    std::{
+        fmt,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// Time to connect to an engine.
+const CONNECT: Duration = Duration::from_millis(250);
+/// Idle time up to which a connection is used for a request that runs at most once: the older one
+/// is, the likelier the engine is closing it, and then nobody knows whether the request ran.
+const FRESH: Duration = Duration::from_millis(100);
+/// Largest answer to an earlier request that is read and dropped, bytes.
+const STRAY_MAX: usize = 1 << 20;
+
+/// Why an engine gave no usable answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Miss {
+    /// The request did not reach it.
+    Unsent(&'static str),
+    /// It says that it has not run the request; with its status.
+    NotRun(u16),
+    /// What came is no answer, or it broke off.
+    Lost(&'static str),
+    /// Nothing came in time.
+    Late,
+}
+
+impl Miss {
+    /// Short name for counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Miss::Unsent(_) => "unsent",
+            Miss::NotRun(_) => "not_run",
+            Miss::Lost(_) => "lost",
+            Miss::Late => "late",
+        }
+    }
+}
+
+impl fmt::Display for Miss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Miss::Unsent(what) => write!(f, "unsent:{what}"),
+            Miss::NotRun(status) => write!(f, "not_run:{status}"),
+            Miss::Lost(what) => write!(f, "lost:{what}"),
+            Miss::Late => write!(f, "late"),
+        }
+    }
+}
+
+/// A place taken at an engine; dropping it gives it back.
+pub struct Place {
+    site: Arc<Site>,
+    /// What was taken.
+    pub ticket: Ticket,
+    judged: Option<(Verdict, &'static str)>,
+}
+
+impl Place {
+    /// Holds a place that the table has given.
+    pub fn new(site: &Arc<Site>, ticket: Ticket) -> Self {
+        Self {
+            site: Arc::clone(site),
+            ticket,
+            judged: None,
+        }
+    }
+
+    /// Sets the verdict that the engine gets when the place is given back.
+    pub fn judge(&mut self, verdict: Verdict, reason: &'static str) {
+        self.judged = Some((verdict, reason));
+    }
+
+    /// Whether the agent beside the engine said within `age` that the engine answers.
+    pub fn vouched(&self, age: Duration) -> bool {
+        lock(&self.site.table).vouched(&self.ticket, age, clock::now())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let verdict = self.judged.map(|(verdict, _)| verdict);
+        let left_out = lock(&self.site.table).end(&self.ticket, verdict, clock::now());
+        if let (true, Some((_, reason))) = (left_out, self.judged) {
+            self.site.distrust(&self.ticket.id, reason);
+        }
+    }
+}
+
+/// An answer whose head has come.
+pub struct Offer {
+    /// The place at the engine.
+    pub place: Place,
+    /// The connection, at the beginning of the body.
+    pub channel: Channel,
+    /// Head of the answer.
+    pub head: Head,
+}
+
+impl Offer {
+    /// Sends a request and waits for the head of its answer until `until`.
+    pub async fn make(
+        mut place: Place,
+        head: &[u8],
+        body: &[u8],
+        id: &str,
+        kind: Kind,
+        until: Instant,
+    ) -> Result<Self, Miss> {
+        let mut channel = match connect(&place, kind).await {
+            Ok(channel) => channel,
+            Err(cause) => {
+                place.judge(Verdict::Bad, cause.name());
+                return Err(Miss::Unsent(cause.name()));
+            }
+        };
+        channel.send(head, body);
+        let waited = time::timeout_at(until.into(), answer(&mut channel, id)).await;
+        let (head, answer) = match waited {
+            Ok(Ok(answered)) => answered,
+            Ok(Err(cause)) => {
+                place.judge(Verdict::Bad, cause.name());
+                return Err(if cause.unsent() {
+                    Miss::Unsent(cause.name())
+                } else {
+                    Miss::Lost(cause.name())
+                });
+            }
+            Err(_) => {
+                place.judge(Verdict::Bad, "silent");
+                return Err(Miss::Late);
+            }
+        };
+        if let Some(load) = answer.load {
+            lock(&place.site.table).observe(&place.ticket, load, clock::now());
+        }
+        let offer = Self {
+            place,
+            channel,
+            head,
+        };
+        offer.check(&answer).await
+    }
+
+    /// Tells a usable answer from a refusal and from nonsense.
+    async fn check(mut self, answer: &Answer) -> Result<Self, Miss> {
+        let status = self.head.status.as_u16();
+        if answer.not_run {
+            let verdict = if status == 421 {
+                Verdict::Bad
+            } else {
+                Verdict::Full
+            };
+            self.place.judge(verdict, "not_run");
+            if self.channel.rest(STRAY_MAX).await.is_ok() {
+                self.close();
+            }
+            return Err(Miss::NotRun(status));
+        }
+        // These statuses promise that the request has not run, which the engine did not say.
+        let promises = matches!(status, 408 | 421 | 429 | 503);
+        if promises || self.head.status.is_success() && !answer.sealed {
+            self.place.judge(Verdict::Bad, "unsealed");
+            return Err(Miss::Lost("unsealed"));
+        }
+        Ok(self)
+    }
+
+    /// Gives the place and, after a clean end, the connection back.
+    pub fn close(self) {
+        let site = Arc::clone(&self.place.site);
+        lock(&site.pool).put(&self.place.ticket.id, self.channel);
+    }
+}
+
+async fn connect(place: &Place, kind: Kind) -> Result<Channel, Error> {
+    let fresh = match kind {
+        Kind::Once | Kind::Stream => FRESH,
+        Kind::Idempotent | Kind::Resumable => Duration::MAX,
+    };
+    let kept = lock(&place.site.pool).take(&place.ticket.id, fresh);
+    match kept {
+        Some(channel) => Ok(channel),
+        None => Channel::open(place.ticket.address, CONNECT).await,
+    }
+}
+
+/// Reads answers until the one to this request comes; those to earlier requests are dropped.
+async fn answer(channel: &mut Channel, id: &str) -> Result<(Head, Answer), Error> {
+    loop {
+        let head = channel.head().await?;
+        let answer = wire::answer(head.status.as_u16(), &head.headers);
+        match &answer.id {
+            Some(other) if **other != *id => {
+                event!(Warn, "stray_answer", request = id, answers = other);
+                channel.rest(STRAY_MAX).await?;
+            }
+            None if !answer.not_run => return Err(Error::Malformed("answer without an id")),
+            _ => return Ok((head, answer)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/peers.rs
@@ -0,0 +1,145 @@
+//! Records over peers: a host that cannot read the store takes them from one that could.
+
+use {
+    crate::{
+        front::{
+            site::Site,
+            watch::{self, mirror},
+        },
+        shared::lock,
+    },
+    axum::{Router, extract::State, http::StatusCode, response::IntoResponse, routing::get},
+    bytes::Bytes,
+    jayspread_net::{
+        channel::{Client, Request},
+        clock, event,
+    },
+    jayspread_platform::store::{Batch, Record, Topic},
+    jayspread_schema::peer::{Records, Topic as Wire},
+    prost::Message,
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time,
+};
+
+/// Path under which peers ask for records.
+const PATH: &str = "/records";
+/// Time that the store has to show what a peer has seen before the peer is asked.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// Time for one call.
+const CALL: Duration = Duration::from_millis(1_500);
+/// Time to connect.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Largest answer taken, bytes.
+const ANSWER_MAX: usize = 8 << 20;
+
+/// Routes for peers.
+pub fn router(site: Arc<Site>) -> Router {
+    Router::new().route(PATH, get(records)).with_state(site)
+}
+
+async fn records(State(site): State<Arc<Site>>) -> impl IntoResponse {
+    let mirrors = lock(&site.mirrors);
+    let wire = |batch: Option<Batch>| batch.map(encode);
+    let all = Records {
+        operator: wire(mirrors.operator.batch()),
+        engines: wire(mirrors.engines.batch()),
+    };
+    (StatusCode::OK, all.encode_to_vec())
+}
+
+fn encode(batch: Batch) -> Wire {
+    let records = batch
+        .records
+        .into_iter()
+        .map(|record| jayspread_schema::peer::Record {
+            key: record.key.to_string(),
+            removed: record.value.is_none(),
+            value: record.value.unwrap_or_default(),
+            offset: record.offset,
+        });
+    Wire {
+        end: batch.end,
+        records: records.collect(),
+    }
+}
+
+fn decode(wire: Wire) -> Batch {
+    let records = wire.records.into_iter().map(|record| Record {
+        key: record.key.into(),
+        value: (!record.removed).then_some(record.value),
+        offset: record.offset,
+    });
+    Batch {
+        records: records.collect(),
+        end: wire.end,
+    }
+}
+
+impl Site {
+    /// Notes that a peer has seen more of the store; asks it when the store itself does not show
+    /// it soon. One such question runs at a time.
+    pub fn ahead(self: &Arc<Self>, peer: Ipv4Addr, operator_end: u64, engines_end: u64) {
+        if self.asking.swap(true, std::sync::atomic::Ordering::AcqRel) {
+            return;
+        }
+        let site = Arc::clone(self);
+        tokio::spawn(async move {
+            time::sleep(PATIENCE).await;
+            let ends = |topic| mirror(&site, topic, |m| m.end()).unwrap_or(0);
+            if ends(Topic::Operator) < operator_end || ends(Topic::Engines) < engines_end {
+                pull(&site, peer).await;
+            }
+            site.asking
+                .store(false, std::sync::atomic::Ordering::Release);
+        });
+    }
+}
+
+/// Takes records from a peer.
+async fn pull(site: &Arc<Site>, peer: Ipv4Addr) {
+    let address = SocketAddr::new(IpAddr::V4(peer), site.settings.port);
+    let mut client = Client::new(address, CONNECT);
+    let answer = client.call(Request::get(PATH), CALL, ANSWER_MAX).await;
+    let body: Bytes = match answer {
+        Ok((head, body)) if head.status.is_success() => body,
+        Ok((head, _)) => {
+            event!(Warn, "pull_refused", peer = peer, status = head.status);
+            return;
+        }
+        Err(cause) => {
+            event!(Warn, "pull_failed", peer = peer, reason = cause);
+            return;
+        }
+    };
+    let records = match Records::decode(body) {
+        Ok(records) => records,
+        Err(cause) => {
+            site.metrics.nonsense.inc();
+            event!(Warn, "pull_malformed", peer = peer, reason = cause);
+            return;
+        }
+    };
+    let began = clock::now();
+    let operator = records.operator.map(decode);
+    let news = operator.map(|batch| mirror(site, Topic::Operator, |m| m.apply(batch)));
+    let operators = news.as_ref().map_or(0, Vec::len);
+    watch::operator(site, &news.unwrap_or_default());
+    let engines = records.engines.map(decode);
+    let news = engines.map(|batch| mirror(site, Topic::Engines, |m| m.apply(batch)));
+    let engines = news.as_ref().map_or(0, Vec::len);
+    if let Some(news) = news {
+        watch::engines(site, &news, None);
+    }
+    event!(
+        Info,
+        "records_from_peer",
+        peer = peer,
+        operator = operators,
+        engines = engines,
+        took_us = clock::now().saturating_duration_since(began).as_micros()
+    );
+}
--- /dev/null
+++ b/crates/entry/src/front/site.rs
@@ -0,0 +1,265 @@
+//! Tables shared by the tasks of an entry host on the platform.
+//!
+//! Lock order: `mirrors`, `catalog`, `targets`, `budgets`, `table`, `roster`, `hosts`, `pool`. A
+//! task takes at most two at once, in this order, and holds none across an await.
+
+use {
+    crate::{
+        front::{metrics::Metrics, mirror::Mirror, pool::Pool},
+        shared::lock,
+    },
+    jayspread_core::{
+        catalog::Catalog, engine::Engine, place::Table, target::Targets, window::Budget,
+    },
+    jayspread_net::{admin::View, clock, datagram::Socket, event, members::Roster},
+    jayspread_platform::settings::Settings,
+    jayspread_schema::peer::Role,
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::sync::{Notify, watch},
+    tracing_appender::non_blocking::ErrorCounter,
+};
+
+/// Time for which the largest number of entry hosts seen counts for shared limits; a host that is
+/// out of sight may still send.
+const HOSTS_MEMORY: Duration = Duration::from_secs(15);
+/// Time kept free before a version's bound, for what is under way and for late news.
+const VERSION_MARGIN: Duration = Duration::from_millis(800);
+
+/// Records followed by an entry host.
+#[derive(Debug, Default)]
+pub struct Mirrors {
+    /// What the operator writes.
+    pub operator: Mirror,
+    /// The list of engines.
+    pub engines: Mirror,
+}
+
+/// Largest number of entry hosts seen lately.
+#[derive(Debug, Clone, Copy)]
+struct Peak {
+    count: usize,
+    at: Instant,
+}
+
+/// Shared state of an entry host.
+pub struct Site {
+    /// Settings.
+    pub settings: Settings,
+    /// Socket towards the other processes.
+    pub socket: Socket,
+    /// Records as applied.
+    pub mirrors: Mutex<Mirrors>,
+    /// Configuration in force.
+    pub catalog: Mutex<Option<Arc<Catalog>>>,
+    /// Versions named.
+    pub targets: Mutex<Targets>,
+    /// Budgets of repeats by service.
+    pub budgets: Mutex<BTreeMap<Box<str>, Budget>>,
+    /// Engines.
+    pub table: Mutex<Table>,
+    /// Other processes.
+    pub roster: Mutex<Roster>,
+    hosts: Mutex<Peak>,
+    /// Idle connections to engines.
+    pub pool: Mutex<Pool>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Wakes the beat: something that others should know has changed.
+    pub news: Notify,
+    /// Goes up when a peer has seen more of the store than this host.
+    pub behind: watch::Sender<u64>,
+    /// A peer is being asked for records.
+    pub asking: AtomicBool,
+    /// Set when the process stops.
+    pub leaving: watch::Sender<bool>,
+    /// The list of engines was read at least once.
+    pub listed: AtomicBool,
+    /// Requests in flight.
+    pub calls: AtomicUsize,
+    dropped: ErrorCounter,
+}
+
+impl Site {
+    /// Creates the state of a process that has just started.
+    pub fn new(settings: Settings, socket: Socket, dropped: ErrorCounter) -> Arc<Self> {
+        let now = clock::now();
+        let seeds = settings.seeds.clone();
+        Arc::new(Self {
+            socket,
+            mirrors: Mutex::default(),
+            catalog: Mutex::default(),
+            targets: Mutex::default(),
+            budgets: Mutex::default(),
+            table: Mutex::default(),
+            roster: Mutex::new(Roster::new(seeds)),
+            hosts: Mutex::new(Peak { count: 1, at: now }),
+            pool: Mutex::default(),
+            metrics: Metrics::default(),
+            news: Notify::new(),
+            behind: watch::Sender::new(0),
+            asking: AtomicBool::new(false),
+            leaving: watch::Sender::new(false),
+            listed: AtomicBool::new(false),
+            calls: AtomicUsize::new(0),
+            dropped,
+            settings,
+        })
+    }
+
+    /// Configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        lock(&self.catalog).clone()
+    }
+
+    /// Whether the process is stopping.
+    pub fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    /// Entry hosts that share limits, this one included.
+    pub fn hosts(&self) -> usize {
+        let live = lock(&self.roster).of(Role::Entry).count() + 1;
+        let now = clock::now();
+        let mut peak = lock(&self.hosts);
+        if live >= peak.count || now.saturating_duration_since(peak.at) > HOSTS_MEMORY {
+            *peak = Peak {
+                count: live,
+                at: now,
+            };
+        }
+        peak.count
+    }
+
+    /// Oldest version of a model that may begin work now.
+    pub fn least_version(&self, model: &str) -> u64 {
+        let bound = self.settings.bounds.version.saturating_sub(VERSION_MARGIN);
+        lock(&self.targets).least(model, bound, clock::now())
+    }
+
+    /// Counts a request for a service.
+    pub fn count_request(&self, service: &str) {
+        let now = clock::now();
+        let mut budgets = lock(&self.budgets);
+        self.budget(&mut budgets, service).request(now);
+    }
+
+    /// Takes a repeat for a service from the budget, if it has any.
+    pub fn take_repeat(&self, service: &str) -> bool {
+        let hosts = self.hosts();
+        let now = clock::now();
+        let mut budgets = lock(&self.budgets);
+        let taken = self.budget(&mut budgets, service).take(hosts, now);
+        if taken {
+            self.metrics.repeats.inc();
+        }
+        taken
+    }
+
+    fn budget<'a>(
+        &self,
+        budgets: &'a mut BTreeMap<Box<str>, Budget>,
+        service: &str,
+    ) -> &'a mut Budget {
+        let bounds = &self.settings.bounds;
+        budgets.entry(service.into()).or_insert_with(|| {
+            Budget::new(
+                bounds.repeat_window,
+                bounds.repeat_ratio,
+                bounds.repeat_allowance,
+            )
+        })
+    }
+
+    /// Logs that an engine is left out.
+    pub fn distrust(&self, engine: &str, reason: &str) {
+        self.metrics.distrusted.inc();
+        event!(Warn, "engine_left_out", engine = engine, reason = reason);
+    }
+}
+
+impl View for Site {
+    fn ready(&self) -> Result<(), Box<str>> {
+        if self.is_leaving() {
+            return Err("stopping".into());
+        }
+        if self.catalog().is_none() {
+            return Err("no configuration is known yet".into());
+        }
+        if !self.listed.load(Ordering::Relaxed) {
+            return Err("no engine is known yet".into());
+        }
+        Ok(())
+    }
+
+    fn dump(&self) -> Value {
+        let now = clock::now();
+        let hosts = self.hosts();
+        let catalog = self.catalog();
+        let engine = |engine: &Engine| {
+            json!({
+                "id": engine.listing.id,
+                "service": engine.listing.service,
+                "address": engine.listing.address.to_string(),
+                "data_centre": engine.listing.data_centre,
+                "draining": engine.listing.draining,
+                "cold": engine.cold(now),
+                "version": engine.version(now),
+                "closed": engine.shut(now),
+                "in_flight": engine.own,
+                "occupancy": engine.occupancy(hosts, now),
+                "load_age_ms": engine.load_age(now).map(|age| age.as_millis() as u64),
+                "failures": engine.trust.failures(),
+                "left_out": !engine.trust.sound(),
+            })
+        };
+        let targets: Vec<Value> = lock(&self.targets)
+            .iter()
+            .map(|(model, named)| {
+                let age = now.saturating_duration_since(named.since);
+                json!({"model": model, "version": named.version, "age_ms": age.as_millis() as u64})
+            })
+            .collect();
+        let table = lock(&self.table);
+        let engines: Vec<Value> = table.iter().map(engine).collect();
+        let evacuated = json!(table.evacuated());
+        drop(table);
+        let roster = lock(&self.roster);
+        let members: BTreeMap<&str, String> = roster
+            .iter()
+            .map(|(host, health)| (&**host, format!("{health:?}").to_lowercase()))
+            .collect();
+        json!({
+            "host": self.settings.host,
+            "ready": self.ready().err(),
+            "revision": catalog.map(|c| c.revision),
+            "targets": targets,
+            "evacuated": evacuated,
+            "engines": engines,
+            "members": members,
+            "entry_hosts": hosts,
+            "in_flight": self.calls.load(Ordering::Relaxed),
+        })
+    }
+
+    fn refresh(&self) {
+        let metrics = &self.metrics;
+        metrics
+            .in_flight
+            .set(self.calls.load(Ordering::Relaxed) as i64);
+        metrics.engines.set(lock(&self.table).iter().count() as i64);
+        metrics
+            .members
+            .set(lock(&self.roster).iter().count() as i64);
+        metrics
+            .lines_dropped
+            .set(self.dropped.dropped_lines() as i64);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/watch.rs
@@ -0,0 +1,307 @@
+//! Follows the platform's store: configuration, versions, evacuations and the list of engines.
+//!
+//! One long read per topic waits for changes, so that calls are few. A connection that has gone
+//! silent is noticed when a peer has seen more than this host.
+
+use {
+    crate::{front::site::Site, metrics, shared::lock},
+    jayspread_core::place::LAPSE,
+    jayspread_net::{clock, event},
+    jayspread_platform::{
+        Error,
+        record::{self, Order},
+        store::{Client, Read, Record, Topic},
+    },
+    std::{
+        collections::BTreeSet,
+        sync::{Arc, atomic::Ordering},
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// Wait of one long read.
+const WAIT: Duration = Duration::from_millis(8_000);
+/// Pause before the list of engines is read on, so that changes that come together cost one call.
+const GATHER: Duration = Duration::from_millis(150);
+/// Pause after the first failed call.
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
+/// Longest pause after failed calls.
+const BACKOFF_MAX: Duration = Duration::from_millis(1_000);
+/// Time that a read may lag behind a peer before its connection is given up.
+const LAG: Duration = Duration::from_millis(250);
+
+/// One topic being followed.
+struct Watch {
+    site: Arc<Site>,
+    topic: Topic,
+    client: Client,
+    /// Time since which calls fail, and calls that failed.
+    lost: Option<(Instant, u32)>,
+    /// Time at which calls succeeded again after failures.
+    regained: Option<Instant>,
+}
+
+/// Follows a topic until the task is aborted.
+pub async fn run(site: Arc<Site>, topic: Topic) {
+    let client = Client::new(site.settings.store);
+    let mut watch = Watch {
+        site,
+        topic,
+        client,
+        lost: None,
+        regained: None,
+    };
+    loop {
+        watch.newest().await;
+        watch.follow().await;
+    }
+}
+
+impl Watch {
+    /// Reads the newest records until that succeeds.
+    async fn newest(&mut self) {
+        loop {
+            let began = clock::now();
+            match self.client.newest(self.topic).await {
+                Ok(batch) => {
+                    let took = clock::now().saturating_duration_since(began);
+                    self.site.metrics.store_time.observe(took.as_secs_f64());
+                    self.succeeded();
+                    let news = mirror(&self.site, self.topic, |m| m.replace(batch));
+                    self.apply(&news);
+                    return;
+                }
+                Err(cause) => self.failed(&cause).await,
+            }
+        }
+    }
+
+    /// Reads on until the history is lost.
+    async fn follow(&mut self) {
+        let mut behind = self.site.behind.subscribe();
+        loop {
+            let from = mirror(&self.site, self.topic, |m| m.end()).unwrap_or(0);
+            let read = tokio::select! {
+                read = self.client.read(self.topic, from, WAIT) => Some(read),
+                () = lagging(&mut behind) => None,
+            };
+            match read {
+                Some(Ok(Read::Batch(batch))) => {
+                    self.succeeded();
+                    let news = mirror(&self.site, self.topic, |m| m.apply(batch));
+                    self.apply(&news);
+                    if self.topic == Topic::Engines && !news.is_empty() {
+                        time::sleep(GATHER).await;
+                    }
+                }
+                Some(Ok(Read::Gone)) => {
+                    event!(Warn, "history_lost", topic = name(self.topic), from = from);
+                    return;
+                }
+                Some(Err(cause)) => self.failed(&cause).await,
+                None => {
+                    event!(Info, "read_lags", topic = name(self.topic), from = from);
+                    self.client = Client::new(self.site.settings.store);
+                }
+            }
+        }
+    }
+
+    fn succeeded(&mut self) {
+        metrics::count(&self.site.metrics.store, "ok");
+        if let Some((since, calls)) = self.lost.take() {
+            let now = clock::now();
+            self.regained = Some(now);
+            event!(
+                Info,
+                "store_regained",
+                topic = name(self.topic),
+                after_ms = now.saturating_duration_since(since).as_millis(),
+                failed_calls = calls
+            );
+        }
+    }
+
+    async fn failed(&mut self, cause: &Error) {
+        metrics::count(&self.site.metrics.store, cause.name());
+        let (_, calls) = self.lost.get_or_insert((clock::now(), 0));
+        *calls += 1;
+        let calls = *calls;
+        if calls == 1 {
+            event!(Warn, "store_lost", topic = name(self.topic), reason = cause);
+        }
+        let pause = (BACKOFF_MIN * calls.min(10)).min(BACKOFF_MAX);
+        time::sleep(pause).await;
+    }
+
+    fn apply(&self, news: &[Record]) {
+        match self.topic {
+            Topic::Operator => operator(&self.site, news),
+            Topic::Engines => engines(&self.site, news, self.grace()),
+            Topic::Hosts => {}
+        }
+    }
+
+    /// Time until which an engine that lapsed during an outage may come back.
+    fn grace(&self) -> Option<Instant> {
+        let until = self.regained? + LAPSE;
+        (clock::now() < until).then_some(until)
+    }
+}
+
+/// Waits until a peer is ahead for longer than a read may take.
+async fn lagging(behind: &mut tokio::sync::watch::Receiver<u64>) {
+    if behind.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    time::sleep(LAG).await;
+}
+
+fn name(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Operator => "operator",
+        Topic::Engines => "engines",
+        Topic::Hosts => "hosts",
+    }
+}
+
+/// Uses the mirror of a topic.
+pub fn mirror<T>(
+    site: &Site,
+    topic: Topic,
+    using: impl FnOnce(&mut crate::front::mirror::Mirror) -> T,
+) -> T {
+    let mut mirrors = lock(&site.mirrors);
+    match topic {
+        Topic::Engines => using(&mut mirrors.engines),
+        Topic::Operator | Topic::Hosts => using(&mut mirrors.operator),
+    }
+}
+
+/// Brings the operator's records into force.
+pub fn operator(site: &Site, news: &[Record]) {
+    if news.is_empty() {
+        return;
+    }
+    let mut moved = false;
+    for record in news {
+        match record::order(&record.key, record.value.as_deref()) {
+            Ok(order) => moved |= obey(site, order),
+            Err(cause) => unreadable(site, record, &cause),
+        }
+    }
+    if moved {
+        evacuate(site);
+    }
+    site.news.notify_one();
+}
+
+/// Carries one order out; true when the evacuations may have changed.
+fn obey(site: &Site, order: Order) -> bool {
+    match order {
+        Order::Catalog(catalog) => {
+            let mut current = lock(&site.catalog);
+            let newer = current
+                .as_ref()
+                .is_none_or(|c| catalog.revision > c.revision);
+            if newer {
+                event!(
+                    Info,
+                    "configuration",
+                    revision = catalog.revision,
+                    routes = catalog.routes.values().map(Vec::len).sum::<usize>(),
+                    keys = catalog.keys.len()
+                );
+                site.metrics.revision.set(catalog.revision);
+                *current = Some(catalog);
+            }
+            false
+        }
+        Order::Version { model, version } => {
+            if lock(&site.targets).name(&model, version, clock::now()) {
+                event!(Info, "version_named", model = model, version = version);
+            }
+            false
+        }
+        Order::Evacuate { data_centre, out } => {
+            event!(Info, "evacuation", data_centre = data_centre, out = out);
+            true
+        }
+        Order::Other => false,
+    }
+}
+
+/// Takes the evacuated data centres over from all records.
+fn evacuate(site: &Site) {
+    let mirrors = lock(&site.mirrors);
+    let orders = mirrors
+        .operator
+        .values()
+        .filter_map(|(key, value)| record::order(key, Some(value)).ok());
+    let evacuated: BTreeSet<_> = orders
+        .filter_map(|order| match order {
+            Order::Evacuate { data_centre, .. } => Some(data_centre),
+            _ => None,
+        })
+        .collect();
+    lock(&site.table).evacuate(evacuated);
+}
+
+/// Takes changes of the list of engines.
+pub fn engines(site: &Site, news: &[Record], grace: Option<Instant>) {
+    let now = clock::now();
+    for record in news {
+        let Some(value) = &record.value else {
+            if lock(&site.table).unlist(&record.key, grace) {
+                event!(
+                    Info,
+                    "engine_unlisted",
+                    engine = record.key,
+                    lenient = grace.is_some()
+                );
+            }
+            continue;
+        };
+        match record::listing(&record.key, value, &site.settings.regions) {
+            Ok(listing) => list(site, listing, now),
+            Err(cause) => {
+                unreadable(site, record, &cause);
+                lock(&site.table).unlist(&record.key, None);
+            }
+        }
+    }
+    site.listed.store(true, Ordering::Relaxed);
+    site.news.notify_one();
+}
+
+fn list(site: &Site, listing: jayspread_core::engine::Listing, now: Instant) {
+    let id = listing.id.clone();
+    let (address, draining) = (listing.address, listing.draining);
+    let version = listing.loaded.as_ref().map_or(0, |l| l.version);
+    let cold = listing.cold_left.as_millis();
+    let service = listing.service.clone();
+    let fresh = lock(&site.table).list(listing, now);
+    event!(
+        Info,
+        "engine_listed",
+        engine = id,
+        fresh = fresh,
+        service = service,
+        address = address,
+        draining = draining,
+        version = version,
+        cold_ms = cold
+    );
+}
+
+fn unreadable(site: &Site, record: &Record, cause: &Error) {
+    site.metrics.unreadable.inc();
+    event!(
+        Warn,
+        "record_unreadable",
+        key = record.key,
+        offset = record.offset,
+        reason = cause
+    );
+}
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        metrics::Metrics,
+        metrics,
         shared::{Shared, lock},
     },
     jayspread_core::member::Change,
@@ -44,7 +44,7 @@
             let limit = shared.settings.timing.call;
             match session.call(ask::Kind::Pull(pull), limit).await {
                 Ok(reply::Kind::Update(update)) => shared.update(&update),
-                Ok(_) => Metrics::count(&shared.metrics.nonsense, "update"),
+                Ok(_) => metrics::count(&shared.metrics.nonsense, "update"),
                 Err(cause) => event!(Debug, "pull_failed", reason = cause),
             }
             shared.pulling.store(false, Ordering::Release);
@@ -72,7 +72,7 @@
     fn report(&self, session: &Session, beat: &Beat) {
         let peer = &session.peer;
         let Some(load) = &beat.load else {
-            Metrics::count(&self.shared.metrics.nonsense, "heartbeat_without_load");
+            metrics::count(&self.shared.metrics.nonsense, "heartbeat_without_load");
             return;
         };
         let slots = &self.shared.slots;
@@ -156,7 +156,7 @@
             }
             _ => {
                 event!(Warn, "ask_refused", peer = session.peer.host);
-                Metrics::count(&self.shared.metrics.nonsense, "ask");
+                metrics::count(&self.shared.metrics.nonsense, "ask");
             }
         }
         drop(rest);
@@ -169,6 +169,6 @@
     }
 
     fn nonsense(&self, _peer: &str, what: &str) {
-        Metrics::count(&self.shared.metrics.nonsense, what);
+        metrics::count(&self.shared.metrics.nonsense, what);
     }
 }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -3,18 +3,28 @@
 use {
     clap::Parser,
     jayspread_entry::{
-        args::Cli,
+        args::{Cli, Command},
         cmd::{Run, Usage},
     },
     std::process::ExitCode,
+    tokio::runtime::Builder,
 };
 
 /// Exit status for input that cannot be used.
 const BAD_INPUT: u8 = 2;
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    match Cli::parse().command.run().await {
+fn main() -> ExitCode {
+    let command = Cli::parse().command;
+    let mut builder = match command {
+        // The platform gives a process a part of one core; a second thread would only cost memory.
+        Command::Serve(_) => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    let ended = match builder.enable_all().build() {
+        Ok(runtime) => runtime.block_on(command.run()),
+        Err(cause) => Err(cause.into()),
+    };
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
             eprintln!("{cause:#}");
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -21,6 +21,19 @@
 /// Number of buckets.
 const BUCKETS: u16 = 16;
 
+/// Buckets of the latency histograms.
+pub fn buckets() -> impl Iterator<Item = f64> {
+    exponential_buckets(BUCKET_START, BUCKET_FACTOR, BUCKETS)
+}
+
+/// Counts under a reason.
+pub fn count(family: &Family<Reason, Counter>, reason: &str) {
+    let reason = Reason {
+        reason: reason.to_owned(),
+    };
+    family.get_or_create(&reason).inc();
+}
+
 /// Label of a counter by reason.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -74,7 +87,6 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let buckets = || exponential_buckets(BUCKET_START, BUCKET_FACTOR, BUCKETS);
         Self {
             requests: Counter::default(),
             whole: Counter::default(),
@@ -100,14 +112,6 @@
 }
 
 impl Metrics {
-    /// Counts under a reason.
-    pub fn count(family: &Family<Reason, Counter>, reason: &str) {
-        let reason = Reason {
-            reason: reason.to_owned(),
-        };
-        family.get_or_create(&reason).inc();
-    }
-
     /// Registry with all metrics.
     pub fn registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("jayspread_entry");
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        metrics::Metrics,
+        metrics,
         shared::{Shared, lock},
     },
     bytes::Bytes,
@@ -109,11 +109,11 @@
     loop {
         match shared.log.append(bytes.clone()).await {
             Ok(_) => {
-                Metrics::count(&shared.metrics.appends, "claims");
+                metrics::count(&shared.metrics.appends, "claims");
                 return;
             }
             Err(cause) => {
-                Metrics::count(&shared.metrics.appends, "failed");
+                metrics::count(&shared.metrics.appends, "failed");
                 event!(Debug, "append_failed", reason = cause);
                 time::sleep(AGAIN).await;
             }
@@ -180,7 +180,7 @@
         Claimed::Unreachable => "unreachable",
         Claimed::Skewed => "skewed",
     };
-    Metrics::count(&shared.metrics.claims, name);
+    metrics::count(&shared.metrics.claims, name);
     claimed
 }
 
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         handler::Handler,
-        metrics::Metrics,
+        metrics,
         shared::{Shared, lock},
     },
     jayspread_core::{
@@ -198,7 +198,7 @@
     match shared.hosts.list().await {
         Ok(list) => {
             for _ in 0..list.malformed {
-                Metrics::count(&shared.metrics.nonsense, "host_list");
+                metrics::count(&shared.metrics.nonsense, "host_list");
             }
             take_list(&shared, list.members);
         }
--- a/crates/entry/src/tail.rs
+++ b/crates/entry/src/tail.rs
@@ -4,7 +4,7 @@
     crate::{
         journal::Outcome,
         log::{Entry, Page},
-        metrics::Metrics,
+        metrics,
         shared::{Shared, lock},
     },
     jayspread_core::{
@@ -98,7 +98,7 @@
     let records = &shared.metrics.records;
     match outcome {
         Outcome::Accepted(revision, effect) => {
-            Metrics::count(records, "accepted");
+            metrics::count(records, "accepted");
             event!(
                 Info,
                 "change",
@@ -108,7 +108,7 @@
             );
         }
         Outcome::Refused(reason) => {
-            Metrics::count(records, "refused");
+            metrics::count(records, "refused");
             event!(
                 Warn,
                 "change_refused",
@@ -116,11 +116,11 @@
                 reason = reason
             );
         }
-        Outcome::Checkpoint(_) => Metrics::count(records, "checkpoint"),
-        Outcome::Batch => Metrics::count(records, "batch"),
-        Outcome::Unplaced => Metrics::count(records, "unplaced"),
+        Outcome::Checkpoint(_) => metrics::count(records, "checkpoint"),
+        Outcome::Batch => metrics::count(records, "batch"),
+        Outcome::Unplaced => metrics::count(records, "unplaced"),
         Outcome::Nonsense(reason) => {
-            Metrics::count(records, "nonsense");
+            metrics::count(records, "nonsense");
             event!(
                 Warn,
                 "record_malformed",
@@ -182,7 +182,7 @@
     };
     match shared.log.append(record.encode_to_vec().into()).await {
         Ok(offset) => {
-            Metrics::count(&shared.metrics.appends, "checkpoint");
+            metrics::count(&shared.metrics.appends, "checkpoint");
             event!(
                 Info,
                 "checkpoint_written",
--- a/crates/net/src/admin.rs
+++ b/crates/net/src/admin.rs
@@ -1,6 +1,7 @@
 //! Administration port: liveness, readiness, metrics and the state dump.
 
 use {
+    crate::event,
     axum::{
         Router,
         extract::State,
@@ -31,9 +32,32 @@
     registry: Registry,
 }
 
+/// A running HTTP port of the process's own.
+pub struct Port {
+    task: JoinHandle<()>,
+}
+
+impl Port {
+    /// Serves `router` on `address`.
+    pub async fn open(address: SocketAddr, router: Router) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let task = tokio::spawn(async move {
+            if let Err(cause) = axum::serve(listener, router).await {
+                event!(Error, "port_failed", address = address, reason = cause);
+            }
+        });
+        Ok(Self { task })
+    }
+
+    /// Stops listening.
+    pub fn close(self) {
+        self.task.abort();
+    }
+}
+
 /// A running administration port.
 pub struct Admin {
-    task: JoinHandle<()>,
+    port: Port,
 }
 
 impl Admin {
@@ -43,7 +67,6 @@
         view: Arc<V>,
         registry: Registry,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
         let shared = Arc::new(Shared { view, registry });
         let router = Router::new()
             .route("/health", get(|| async { "ok\n" }))
@@ -51,15 +74,13 @@
             .route("/metrics", get(metrics::<V>))
             .route("/dump", get(dump::<V>))
             .with_state(shared);
-        let task = tokio::spawn(async move {
-            let _ = axum::serve(listener, router).await;
-        });
-        Ok(Self { task })
+        let port = Port::open(address, router).await?;
+        Ok(Self { port })
     }
 
     /// Stops listening.
     pub fn close(self) {
-        self.task.abort();
+        self.port.close();
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,10 +3,13 @@
 
 pub mod admin;
 pub mod cert;
+pub mod channel;
 pub mod clock;
+pub mod datagram;
 pub mod frame;
 pub mod http;
 pub mod link;
+pub mod members;
 pub mod node;
 pub mod session;
 pub mod signal;
--- /dev/null
+++ b/crates/net/src/members.rs
@@ -0,0 +1,207 @@
+//! Processes of one site that are heard from: heartbeats over datagrams, introduced by any member.
+
+use {
+    crate::{clock, datagram::Socket, event},
+    jayspread_core::member::{Change, Health, Table},
+    jayspread_schema::peer::{Hello, Member, Members, Packet, Role, packet::Body},
+    std::{
+        collections::BTreeMap,
+        net::Ipv4Addr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Interval of heartbeats.
+pub const BEAT: Duration = Duration::from_millis(500);
+/// Interval of asking a member for its list.
+const ASK: Duration = Duration::from_millis(2_000);
+/// Interval of asking while no other member is known.
+const ASK_ALONE: Duration = Duration::from_millis(300);
+
+/// A member that is heard from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Contact {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Its data centre.
+    pub data_centre: Box<str>,
+    /// What it does.
+    pub role: Role,
+    /// It was heard from itself, not only named by others.
+    heard: bool,
+    /// Time at which it was named last.
+    named: Instant,
+}
+
+/// Members that are known.
+pub struct Roster {
+    health: Table,
+    contacts: BTreeMap<Box<str>, Contact>,
+    seeds: Vec<Ipv4Addr>,
+    asked: Option<Instant>,
+    turn: usize,
+}
+
+impl Roster {
+    /// Creates a roster that knows only addresses to ask.
+    pub fn new(seeds: Vec<Ipv4Addr>) -> Self {
+        Self {
+            health: Table::new(BEAT),
+            contacts: BTreeMap::new(),
+            seeds,
+            asked: None,
+            turn: 0,
+        }
+    }
+
+    /// Adds addresses to ask while no member is known.
+    pub fn introduce(&mut self, addresses: impl IntoIterator<Item = Ipv4Addr>) {
+        for address in addresses {
+            if !self.seeds.contains(&address) {
+                self.seeds.push(address);
+            }
+        }
+    }
+
+    /// Takes in who sent a packet.
+    pub fn hear(&mut self, packet: &Packet, now: Instant) {
+        let host: Box<str> = packet.host.as_str().into();
+        let contact = Contact {
+            address: Ipv4Addr::from_bits(packet.address),
+            data_centre: packet.data_centre.as_str().into(),
+            role: packet.role(),
+            heard: true,
+            named: now,
+        };
+        self.contacts.insert(host.clone(), contact);
+        let change = self.health.beat(
+            &host,
+            packet.incarnation,
+            packet.sequence,
+            packet.leaving,
+            now,
+        );
+        if change != Change::None {
+            event!(
+                Info,
+                "member",
+                host = host,
+                change = format!("{change:?}").to_lowercase(),
+                incarnation = packet.incarnation
+            );
+        }
+    }
+
+    /// Takes in members that another one names.
+    pub fn named(&mut self, members: &Members, now: Instant) {
+        for member in &members.members {
+            self.name(member, now);
+        }
+    }
+
+    fn name(&mut self, member: &Member, now: Instant) {
+        let contact = Contact {
+            address: Ipv4Addr::from_bits(member.address),
+            data_centre: member.data_centre.as_str().into(),
+            role: member.role(),
+            heard: false,
+            named: now,
+        };
+        let known = self
+            .contacts
+            .entry(member.host.as_str().into())
+            .or_insert(contact);
+        known.named = known.named.max(now);
+    }
+
+    /// Ages all members; drops those that are silent and that nobody names.
+    pub fn tick(&mut self, now: Instant) {
+        for (host, health) in self.health.tick(now) {
+            event!(
+                Info,
+                "member",
+                host = host,
+                change = format!("{health:?}").to_lowercase()
+            );
+            if health == Health::Dead {
+                self.contacts.remove(&host);
+            }
+        }
+        self.contacts
+            .retain(|_, c| c.heard || now.saturating_duration_since(c.named) < ASK * 3);
+    }
+
+    /// Whom to ask for the list of members now, if anyone.
+    pub fn ask(&mut self, me: Ipv4Addr, now: Instant) -> Vec<Ipv4Addr> {
+        let alone = !self.contacts.values().any(|c| c.heard);
+        let pause = if alone { ASK_ALONE } else { ASK };
+        if self.asked.is_some_and(|at| now < at + pause) {
+            return Vec::new();
+        }
+        self.asked = Some(now);
+        self.turn += 1;
+        if alone {
+            let seeds = self.seeds.iter().filter(|seed| **seed != me);
+            return seeds.copied().collect();
+        }
+        let entries: Vec<Ipv4Addr> = self.of(Role::Entry).map(|(_, c)| c.address).collect();
+        let index = self.turn % entries.len().max(1);
+        entries.get(index).copied().into_iter().collect()
+    }
+
+    /// Members of a role that are heard from and not leaving.
+    pub fn of(&self, role: Role) -> impl Iterator<Item = (&Box<str>, &Contact)> {
+        self.contacts
+            .iter()
+            .filter(move |(host, c)| c.role == role && self.health.usable(host))
+    }
+
+    /// Members of a role that beats go to: all that are known, heard from or only named.
+    pub fn addresses(&self, role: Role, me: Ipv4Addr) -> Vec<Ipv4Addr> {
+        let fitting = self.contacts.values().filter(|c| c.role == role);
+        let addresses = fitting.map(|c| c.address);
+        addresses.filter(|address| *address != me).collect()
+    }
+
+    /// The list that this process gives to others: itself and those that it hears from.
+    pub fn list(&self, me: Member) -> Members {
+        let heard = self
+            .contacts
+            .iter()
+            .filter(|(host, _)| self.health.health(host) == Health::Alive);
+        let mut members: Vec<Member> = heard
+            .map(|(host, c)| Member {
+                host: host.to_string(),
+                address: c.address.to_bits(),
+                data_centre: c.data_centre.to_string(),
+                role: c.role.into(),
+            })
+            .collect();
+        members.push(me);
+        Members { members }
+    }
+
+    /// Members and their health, for dumps.
+    pub fn iter(&self) -> impl Iterator<Item = (&Box<str>, Health)> {
+        self.health.iter()
+    }
+}
+
+/// Asks for lists of members where it is due.
+pub fn ask(socket: &Socket, roster: &mut Roster) {
+    let whom = roster.ask(socket.identity.address, clock::now());
+    if whom.is_empty() {
+        return;
+    }
+    let hello = socket.encode(Body::Hello(Hello {}));
+    for address in whom {
+        send(socket, &hello, address);
+    }
+}
+
+/// Sends a packet and logs a failure; the next beat repeats what it said.
+pub fn send(socket: &Socket, packet: &[u8], to: Ipv4Addr) {
+    if let Err(cause) = socket.send(packet, to) {
+        event!(Debug, "datagram_failed", to = to, reason = cause);
+    }
+}
--- a/crates/net/src/signal.rs
+++ b/crates/net/src/signal.rs
@@ -1,4 +1,5 @@
-//! Signals: SIGTERM and SIGINT stop, a second one ends at once, SIGUSR1 dumps the state.
+//! Signals: SIGTERM and SIGINT stop, a second one ends at once, SIGUSR1 dumps the state, SIGHUP
+//! reloads the settings.
 
 use {
     crate::admin::View,
@@ -13,6 +14,8 @@
     Stop,
     /// Write the state dump to standard error.
     Dump,
+    /// Read the settings again.
+    Reload,
 }
 
 /// Streams of the signals that the processes listen to.
@@ -20,6 +23,7 @@
     terminate: Signal,
     interrupt: Signal,
     user: Signal,
+    hangup: Signal,
 }
 
 impl Signals {
@@ -29,13 +33,19 @@
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
             user: signal(SignalKind::user_defined1())?,
+            hangup: signal(SignalKind::hangup())?,
         })
     }
 
     /// Waits for a stop, writing state dumps on request meanwhile.
     pub async fn stop(&mut self, view: &impl View) {
-        while self.next().await == Wish::Dump {
-            eprintln!("{:#}", view.dump());
+        loop {
+            match self.next().await {
+                Wish::Stop => return,
+                Wish::Dump => eprintln!("{:#}", view.dump()),
+                // The settings of these processes hold for their whole life.
+                Wish::Reload => {}
+            }
         }
     }
 
@@ -45,6 +55,7 @@
             _ = self.terminate.recv() => Wish::Stop,
             _ = self.interrupt.recv() => Wish::Stop,
             _ = self.user.recv() => Wish::Dump,
+            _ = self.hangup.recv() => Wish::Reload,
         }
     }
 }
--- a/crates/net/src/telemetry.rs
+++ b/crates/net/src/telemetry.rs
@@ -3,6 +3,7 @@
 use {
     simplelog::{ConfigBuilder, LevelFilter, WriteLogger},
     std::{fmt, io},
+    tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard},
 };
 
 /// Logs one event as a line of key=value pairs.
@@ -35,6 +36,44 @@
 
 /// Starts logging to standard error at `level`; a second call changes nothing.
 pub fn start(level: &str) {
+    begin(level, io::stderr());
+}
+
+/// Lines that wait for standard output at most; further ones are dropped and counted.
+const QUEUE_LINES: usize = 8_192;
+
+/// Logs to standard output through a bounded queue, so that no task ever waits for a reader.
+pub struct Output {
+    /// Writes what is queued when it is dropped.
+    guard: WorkerGuard,
+    dropped: ErrorCounter,
+}
+
+impl Output {
+    /// Starts logging at `level`; a second call changes nothing.
+    pub fn start(level: &str) -> Self {
+        let (writer, guard) = NonBlockingBuilder::default()
+            .lossy(true)
+            .buffered_lines_limit(QUEUE_LINES)
+            .thread_name("log")
+            .finish(io::stdout());
+        let dropped = writer.error_counter();
+        begin(level, writer);
+        Self { guard, dropped }
+    }
+
+    /// Counter of lines that found the queue full.
+    pub fn dropped(&self) -> ErrorCounter {
+        self.dropped.clone()
+    }
+
+    /// Writes what is queued and ends.
+    pub fn close(self) {
+        drop(self.guard);
+    }
+}
+
+fn begin(level: &str, writer: impl io::Write + Send + 'static) {
     let level = match level {
         "error" => LevelFilter::Error,
         "warn" => LevelFilter::Warn,
@@ -52,5 +91,6 @@
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("jayspread")
         .build();
-    let _ = WriteLogger::init(level, config, io::stderr());
+    // A logger that is installed already stays; the test processes start several.
+    let _ = WriteLogger::init(level, config, writer);
 }
--- a/crates/schema/examples/generate.rs
+++ b/crates/schema/examples/generate.rs
@@ -2,7 +2,7 @@
 
 use std::{error::Error, path::Path};
 
-const PACKAGES: [&str; 3] = ["settings.proto", "config.proto", "wire.proto"];
+const PACKAGES: [&str; 4] = ["settings.proto", "config.proto", "wire.proto", "peer.proto"];
 const SERDE: &str = "#[derive(serde::Serialize, serde::Deserialize)]";
 
 fn main() -> Result<(), Box<dyn Error>> {
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -1,6 +1,6 @@
 //! Messages and settings of jayspread.
 //!
-//! The modules [`config`] and [`wire`] are generated from `proto/` by the example `generate`
+//! The modules [`config`], [`peer`] and [`wire`] are generated from `proto/` by the example `generate`
 //! and committed, so that the build needs no generator. [`settings`] checks what was read.
 
 #[allow(missing_docs, clippy::all)]
@@ -9,6 +9,10 @@
 pub mod config;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
+#[path = "generated/jayspread.peer.rs"]
+pub mod peer;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 #[path = "generated/jayspread.settings.rs"]
 pub mod raw;
 pub mod settings;
