Pieces: rarest first among all holders, one paced upload at a time, own region first

Cause: leaders held asks for pieces on their way and so blocked those that they had (versions 16 s late); several parallel uploads queued before the engine's events on the shared 9.4 Mbit/s link (half of all streams late while a version spread).

--- a/crates/agent/src/chunks.rs
+++ b/crates/agent/src/chunks.rs
@@ -77,7 +77,7 @@
             version: version.into(),
             wanted,
             quota: match self.policy {
-                Policy::Trade => Quota::new(size, largest),
+                Policy::Trade | Policy::Once => Quota::new(size, largest),
                 Policy::Seeder => Quota::unlimited(size),
             },
             since: now,
--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -158,7 +158,7 @@
         let Some(newest) = lock(&self.slot.targets).newest(&source.model) else {
             return;
         };
-        self.fetch(newest.version);
+        self.fetch(newest);
         if !self.yields_to(newest) {
             return;
         }
@@ -190,7 +190,8 @@
     }
 
     /// Fetches the newest version unless the engine serves it or its pieces are held.
-    fn fetch(&mut self, version: u64) {
+    fn fetch(&mut self, newest: Named) {
+        let version = newest.version;
         let serves = lock(&self.slot.seen).version() >= version;
         let running = self
             .job
@@ -206,7 +207,7 @@
         }
         lock(&self.slot.pieces).reclaim(version);
         event!(Info, "fetching", version = version);
-        let task = tokio::spawn(fetch::run(Arc::clone(&self.slot), version));
+        let task = tokio::spawn(fetch::run(Arc::clone(&self.slot), version, newest.since));
         self.job = Some((version, task));
     }
 
--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -11,8 +11,8 @@
     bytes::Bytes,
     jayspread_core::{
         bundle::Piece,
-        chunk::{Duty, Peer, Plan, Policy, Source, Step},
-        id::ChunkHash,
+        chunk::{Peer, Plan, Policy, Source, Step},
+        spread::{Ask, Spread},
     },
     jayspread_net::{clock, event},
     jayspread_platform::{
@@ -22,73 +22,47 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         net::{IpAddr, SocketAddr},
-        sync::{
-            Arc,
-            atomic::{AtomicU32, Ordering},
-        },
-        time::Duration,
+        sync::Arc,
+        time::{Duration, Instant},
     },
-    tokio::{sync::Semaphore, task::JoinSet, time},
+    tokio::{task::JoinSet, time},
 };
 
-/// Pieces asked of the origin at once.
-const FROM_ORIGIN: usize = 2;
-/// Pieces asked of other data centres at once.
-const FROM_AFAR: usize = 3;
-/// Pieces asked of the own data centre at once.
-const INSIDE: usize = 4;
-/// Time for which another agent may keep an ask waiting for a piece that it fetches itself.
-const WAIT: Duration = Duration::from_millis(1_500);
-/// Time for one piece on a slow and shared link.
-const TRANSFER: Duration = Duration::from_millis(2_500);
-/// Pause before the sources of a piece, or of a manifest, are tried again.
+/// Time for one piece on a slow and shared link, the turn at its holder included.
+const TRANSFER: Duration = Duration::from_millis(2_000);
+/// Pause before a manifest is asked for again, and before a failed source is asked again.
 const ROUND: Duration = Duration::from_millis(150);
-/// Probes in a row without a hit after which a leader stops probing: the version is new to all.
-const PROBES: u32 = 4;
-/// Time for which news of other agents is waited for before the plan is made.
-const MEET: Duration = Duration::from_millis(200);
+/// Longest time without looking at what is due.
+const LOOK: Duration = Duration::from_millis(200);
+/// Interval of planning anew over the agents that are known by then.
+const REPLAN: Duration = Duration::from_millis(1_000);
 
 /// One version being fetched.
-pub struct Job {
+struct Job {
     slot: Arc<Slot>,
     weights: Weights,
     manifest: Arc<Manifest>,
-    index: BTreeMap<ChunkHash, Vec<usize>>,
-    origin: Semaphore,
-    afar: Semaphore,
-    inside: Semaphore,
-    missed: AtomicU32,
 }
 
-/// Fetches all pieces of a version into memory; ends when they are complete.
-pub async fn run(slot: Arc<Slot>, version: u64) {
+/// Fetches all pieces of a version into memory; ends when they are complete. `named` is the time at
+/// which the version was named.
+pub async fn run(slot: Arc<Slot>, version: u64, named: Instant) {
     let began = clock::now();
     let (weights, manifest) = manifest(&slot, version).await;
     lock(&slot.pieces).open(&manifest);
-    if slot.agents().is_empty() {
-        time::sleep(MEET).await;
-    }
-    let mut index: BTreeMap<ChunkHash, Vec<usize>> = BTreeMap::new();
-    for (place, digest) in manifest.digests.iter().enumerate() {
-        index.entry(*digest).or_default().push(place);
-    }
     let job = Arc::new(Job {
         slot,
         weights,
         manifest,
-        index,
-        origin: Semaphore::new(FROM_ORIGIN),
-        afar: Semaphore::new(FROM_AFAR),
-        inside: Semaphore::new(INSIDE),
-        missed: AtomicU32::new(0),
     });
     job.recover().await;
-    let mut tasks = JoinSet::new();
-    for step in job.plan() {
-        let job = Arc::clone(&job);
-        tasks.spawn(async move { job.obtain(&step).await });
-    }
-    while tasks.join_next().await.is_some() {}
+    // A host that joins long after the naming gives the others time to be heard first.
+    let since = if clock::now().saturating_duration_since(named) > REPLAN * 2 {
+        began
+    } else {
+        named
+    };
+    job.spread(since).await;
     event!(
         Info,
         "pieces_complete",
@@ -156,7 +130,7 @@
         let peer = |host: &str, data_centre: &str| Peer {
             host: host.into(),
             data_centre: data_centre.into(),
-            region: self.region(data_centre),
+            region: self.slot.region(data_centre),
         };
         let me = peer(&settings.host, &settings.data_centre);
         let agents = self.slot.agents();
@@ -169,13 +143,65 @@
                 hash: self.manifest.digests[place],
             })
             .collect();
-        let origin = self.region(&self.weights.data_centre);
-        Plan::new(Policy::Trade, &me, &peers, &pieces, &origin).steps
+        let origin = self.slot.region(&self.weights.data_centre);
+        let steps = Plan::new(Policy::Once, &me, &peers, &pieces, &origin).steps;
+        // The plan has each digest once; equal pieces share its step.
+        let by_digest: BTreeMap<_, &Step> = steps.iter().map(|step| (step.hash, step)).collect();
+        let digests = self.manifest.digests.iter();
+        digests.map(|digest| by_digest[digest].clone()).collect()
+    }
+
+    /// Asks for pieces until all are held.
+    async fn spread(self: &Arc<Self>, since: Instant) {
+        let settings = &self.slot.settings;
+        let patience = rand::random();
+        let region = self.slot.region(&settings.data_centre);
+        let mut spread = Spread::new(&settings.data_centre, &region, &self.plan(), patience);
+        let mut planned = clock::now();
+        let mut asks = JoinSet::new();
+        let count = self.manifest.digests.len();
+        loop {
+            (0..count)
+                .filter(|index| self.has(*index))
+                .for_each(|index| spread.hold(index));
+            if spread.complete() {
+                return;
+            }
+            let now = clock::now();
+            if now.saturating_duration_since(planned) >= REPLAN {
+                spread.replan(&self.plan());
+                planned = now;
+            }
+            let holders = self.slot.holders(self.manifest.version, count);
+            let elapsed = now.saturating_duration_since(since);
+            while let Some(ask) = spread.next(&holders, elapsed, &mut rand::rng()) {
+                let job = Arc::clone(self);
+                asks.spawn(async move { job.obtain(ask).await });
+            }
+            tokio::select! {
+                Some(ended) = asks.join_next() => match ended {
+                    Ok(index) => spread.end(index),
+                    Err(cause) => {
+                        event!(Error, "ask_ended", reason = cause);
+                        return;
+                    }
+                },
+                () = self.slot.holders_changed.notified() => {}
+                () = time::sleep(LOOK) => {}
+            }
+        }
     }
 
-    fn region(&self, data_centre: &str) -> Box<str> {
-        let region = self.slot.settings.regions.get(data_centre);
-        region.cloned().unwrap_or_else(|| data_centre.into())
+    /// Carries one ask out and returns the index of its piece.
+    async fn obtain(&self, ask: Ask) -> usize {
+        let bytes = match &ask.source {
+            Source::Origin => self.ask_origin(ask.index).await,
+            Source::Peer(host) => self.ask_peer(host, ask.index).await,
+        };
+        if bytes.is_none() {
+            time::sleep(ROUND).await;
+        }
+        ask.index
     }
 
     /// Takes pieces that the engine still has staged, after a restart of it or of this agent. If
@@ -206,11 +232,7 @@
     }
 
     fn keep(&self, index: usize, bytes: &Bytes) -> bool {
-        let kept = lock(&self.slot.pieces).keep(self.manifest.version, index, bytes);
-        if kept {
-            self.slot.arrived.notify_waiters();
-        }
-        kept
+        lock(&self.slot.pieces).keep(self.manifest.version, index, bytes)
     }
 
     fn has(&self, index: usize) -> bool {
@@ -218,56 +240,6 @@
         pieces.get(self.manifest.version, index).is_some()
     }
 
-    /// Obtains one piece, wherever the version holds it.
-    async fn obtain(&self, step: &Step) {
-        let places = &self.index[&step.hash];
-        while !places.iter().all(|index| self.has(*index)) {
-            if let Some(bytes) = self.round(step, places[0]).await {
-                for index in places {
-                    self.keep(*index, &bytes);
-                }
-                return;
-            }
-            time::sleep(ROUND).await;
-        }
-    }
-
-    /// Tries each source once.
-    async fn round(&self, step: &Step, index: usize) -> Option<Bytes> {
-        for (place, source) in step.sources.iter().enumerate() {
-            let probe = place < step.probes;
-            if probe && self.missed.load(Ordering::Relaxed) >= PROBES {
-                continue;
-            }
-            let Ok(_permit) = self.gate(step, source).acquire().await else {
-                return None;
-            };
-            let bytes = match source {
-                Source::Origin => self.ask_origin(index).await,
-                Source::Peer(host) => self.ask_peer(host, index, probe).await,
-            };
-            match bytes {
-                Some(bytes) => {
-                    self.missed.store(0, Ordering::Relaxed);
-                    return Some(bytes);
-                }
-                None if probe => {
-                    self.missed.fetch_add(1, Ordering::Relaxed);
-                }
-                None => {}
-            }
-        }
-        None
-    }
-
-    fn gate(&self, step: &Step, source: &Source) -> &Semaphore {
-        match source {
-            Source::Origin => &self.origin,
-            Source::Peer(_) if step.duty == Duty::Member => &self.inside,
-            Source::Peer(_) => &self.afar,
-        }
-    }
-
     async fn ask_origin(&self, index: usize) -> Option<Bytes> {
         let mut client = origin::Client::new(self.weights.origin?);
         let (version, bytes) = (self.manifest.version, self.manifest.piece_bytes);
@@ -285,13 +257,12 @@
         }
     }
 
-    async fn ask_peer(&self, host: &str, index: usize, probe: bool) -> Option<Bytes> {
+    async fn ask_peer(&self, host: &str, index: usize) -> Option<Bytes> {
         let agents = self.slot.agents();
         let (address, _) = agents.get(host)?;
         let peer = SocketAddr::new(IpAddr::V4(*address), self.slot.settings.port);
-        let wait = if probe { Duration::ZERO } else { WAIT };
         let (version, bytes) = (self.manifest.version, self.manifest.piece_bytes);
-        let asked = serve::ask_piece(peer, version, index, wait, wait + TRANSFER, bytes);
+        let asked = serve::ask_piece(peer, version, index, TRANSFER, bytes);
         match asked.await {
             Ok(piece) => {
                 let piece = piece?;
--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -11,6 +11,7 @@
     },
     jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
     std::{
+        collections::BTreeSet,
         io,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::Arc,
@@ -60,9 +61,12 @@
         Some(Body::Engine(engine)) => {
             let other = Other {
                 version: engine.version,
+                spreading: engine.spreading,
+                pieces: indices(&engine.pieces),
                 at: now,
             };
             lock(&slot.fleet).insert(packet.host.into(), other);
+            slot.holders_changed.notify_one();
         }
         None => {}
     }
@@ -110,7 +114,24 @@
     }
 }
 
-/// What this agent says of its engine.
+/// Indices of the bits that are set, lowest first.
+fn indices(bits: &[u8]) -> BTreeSet<usize> {
+    (0..bits.len() * 8)
+        .filter(|index| bits[index / 8] >> (index % 8) & 1 == 1)
+        .collect()
+}
+
+/// Bits at these indices, lowest first.
+fn bits(indices: &[usize]) -> Vec<u8> {
+    let length = indices.iter().max().map_or(0, |last| last / 8 + 1);
+    let mut bits = vec![0; length];
+    for index in indices {
+        bits[index / 8] |= 1 << (index % 8);
+    }
+    bits
+}
+
+/// What this agent says of its engine and of the pieces that it holds.
 fn state(slot: &Slot) -> Engine {
     let seen = lock(&slot.seen).clone();
     let version = seen.version();
@@ -134,6 +155,10 @@
         engine.pace = (state.load.pace * 1e2) as u32;
         engine.closed |= state.busy;
     }
+    if let Some((version, pieces)) = lock(&slot.pieces).spreading() {
+        engine.spreading = version;
+        engine.pieces = bits(&pieces).into();
+    }
     engine
 }
 
@@ -149,9 +174,10 @@
             .is_none_or(|(sent, at)| *sent != engine || now >= *at + BEAT);
         let beats = beat.is_none_or(|at| now >= at + BEAT);
         let turned = last.as_ref().is_some_and(|(sent, _)| {
-            (sent.version, sent.answers) != (engine.version, engine.answers)
+            (sent.version, sent.answers, &sent.pieces)
+                != (engine.version, engine.answers, &engine.pieces)
         });
-        if due {
+        if due || beats {
             report(&slot, &engine, beats || turned);
             last = Some((engine, now));
         }
--- a/crates/agent/src/slot/pieces.rs
+++ b/crates/agent/src/slot/pieces.rs
@@ -72,6 +72,14 @@
         true
     }
 
+    /// Newest version with pieces in memory, and which ones.
+    pub fn spreading(&self) -> Option<(u64, Vec<usize>)> {
+        let (version, held) = self.versions.iter().rev().find(|(_, held)| !held.released)?;
+        let pieces = held.pieces.iter().enumerate();
+        let present = pieces.filter(|(_, piece)| piece.is_some());
+        Some((*version, present.map(|(index, _)| index).collect()))
+    }
+
     /// Whether all pieces of a version are in memory.
     pub fn complete(&self, version: u64) -> bool {
         let held = self.versions.get(&version);
--- a/crates/agent/src/slot/serve.rs
+++ b/crates/agent/src/slot/serve.rs
@@ -4,43 +4,44 @@
     crate::{shared::lock, slot::tables::Slot},
     axum::{
         Router,
+        body::Body,
         extract::{Query, State},
-        http::StatusCode,
-        response::IntoResponse,
+        http::{StatusCode, header},
+        response::{IntoResponse, Response},
         routing::get,
     },
     bytes::Bytes,
+    futures_util::stream,
     hex::ToHex,
     jayspread_core::id::ChunkHash,
     jayspread_net::{
         channel::{Client, Request},
-        clock, event,
+        event,
     },
     jayspread_platform::{engine, origin::Manifest},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::Semaphore, time},
 };
 
-/// Pieces sent at once; the link is slow, so that more would only make each later.
-const UPLOADS: usize = 3;
 /// Time to connect to another agent.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Time for a manifest.
 const MANIFEST: Duration = Duration::from_millis(1_000);
 /// Largest manifest taken, bytes.
 const MANIFEST_MAX: usize = 4 << 20;
-/// Longest wait that another agent may ask for.
-const WAIT_MAX: Duration = Duration::from_secs(5);
+/// Bytes written at once.
+const PART: usize = 8 << 10;
+/// Share of the host's link that pieces may take; the engine's answers share the link.
+const LINK_SHARE: f64 = 0.8;
 
 /// What another agent asks for.
 #[derive(Debug)]
 #[derive(Deserialize)]
 struct Wanted {
     version: u64,
+    #[serde(default)]
     index: usize,
-    /// Time to wait for a piece that is on its way, milliseconds.
-    wait_ms: u64,
 }
 
 /// A manifest as agents pass it on.
@@ -52,57 +53,63 @@
     digests: Vec<Box<str>>,
 }
 
+/// What sends pieces: one at a time and paced, so that they do not queue on the link before the
+/// engine's answers.
 struct Server {
     slot: Arc<Slot>,
-    uploads: Semaphore,
+    turn: Arc<Semaphore>,
+    /// Pause behind each part.
+    pause: Duration,
 }
 
 /// Routes for other agents.
 pub fn router(slot: Arc<Slot>) -> Router {
-    let server = Server {
-        slot,
-        uploads: Semaphore::new(UPLOADS),
-    };
+    let rate = slot.settings.link_rate * LINK_SHARE;
+    let server = Arc::new(Server {
+        slot: Arc::clone(&slot),
+        turn: Arc::new(Semaphore::new(1)),
+        pause: Duration::from_secs_f64(PART as f64 / rate.max(1.0)),
+    });
     Router::new()
-        .route("/piece", get(piece))
-        .route("/manifest", get(manifest))
-        .with_state(Arc::new(server))
+        .route("/piece", get(piece).with_state(server))
+        .route("/manifest", get(manifest).with_state(slot))
 }
 
-async fn piece(
-    State(server): State<Arc<Server>>,
-    Query(wanted): Query<Wanted>,
-) -> impl IntoResponse {
-    let Ok(_permit) = server.uploads.acquire().await else {
-        return (StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+async fn piece(State(server): State<Arc<Server>>, Query(wanted): Query<Wanted>) -> Response {
+    let Some(bytes) = find(&server.slot, &wanted).await else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    let Ok(turn) = Arc::clone(&server.turn).acquire_owned().await else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
     };
-    let found = find(&server.slot, &wanted).await;
-    match found {
-        Some(bytes) => {
-            server.slot.metrics.sent_bytes.inc_by(bytes.len() as u64);
-            (StatusCode::OK, bytes)
+    server.slot.metrics.sent_bytes.inc_by(bytes.len() as u64);
+    let length = bytes.len();
+    let paced = stream::unfold((bytes, turn), move |(mut left, turn)| {
+        let pause = server.pause;
+        async move {
+            if left.is_empty() {
+                return None;
+            }
+            let part = left.split_to(left.len().min(PART));
+            if !left.is_empty() {
+                time::sleep(pause).await;
+            }
+            Some((Ok::<_, Infallible>(part), (left, turn)))
         }
-        None => (StatusCode::NOT_FOUND, Bytes::new()),
-    }
+    });
+    let mut response = Response::new(Body::from_stream(paced));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_LENGTH, length.into());
+    response
 }
 
-/// Finds a piece in memory or in the engine's staging area, or waits for it to arrive.
+/// Finds a piece in memory or in the engine's staging area.
 async fn find(slot: &Slot, wanted: &Wanted) -> Option<Bytes> {
-    let wait = Duration::from_millis(wanted.wait_ms).min(WAIT_MAX);
-    let until = clock::now() + wait;
-    loop {
-        let arrived = slot.arrived.notified();
-        if let Some(bytes) = lock(&slot.pieces).get(wanted.version, wanted.index) {
-            return Some(bytes);
-        }
-        let fetching = {
-            let pieces = lock(&slot.pieces);
-            pieces.manifest(wanted.version).is_some() && !pieces.released(wanted.version)
-        };
-        if !fetching {
-            return staged(slot, wanted).await;
-        }
-        time::timeout_at(until.into(), arrived).await.ok()?;
+    let held = lock(&slot.pieces).get(wanted.version, wanted.index);
+    match held {
+        Some(bytes) => Some(bytes),
+        None => staged(slot, wanted).await,
     }
 }
 
@@ -128,10 +135,10 @@
 }
 
 async fn manifest(
-    State(server): State<Arc<Server>>,
+    State(slot): State<Arc<Slot>>,
     Query(wanted): Query<Wanted>,
 ) -> impl IntoResponse {
-    let Some(manifest) = lock(&server.slot.pieces).manifest(wanted.version) else {
+    let Some(manifest) = lock(&slot.pieces).manifest(wanted.version) else {
         return (StatusCode::NOT_FOUND, String::new());
     };
     let digests = manifest.digests.iter();
@@ -156,12 +163,10 @@
     peer: SocketAddr,
     version: u64,
     index: usize,
-    wait: Duration,
     limit: Duration,
     bytes: u32,
 ) -> Result<Option<Bytes>, Box<str>> {
-    let wait = wait.as_millis();
-    let path = format!("/piece?version={version}&index={index}&wait_ms={wait}");
+    let path = format!("/piece?version={version}&index={index}");
     let mut client = Client::new(peer, CONNECT);
     let (head, body) = client
         .call(Request::get(&path), limit, bytes as usize)
@@ -172,7 +177,7 @@
 
 /// Asks another agent for a manifest; nothing when it has none.
 pub async fn ask_manifest(peer: SocketAddr, version: u64) -> Result<Option<Manifest>, Box<str>> {
-    let path = format!("/manifest?version={version}&index=0&wait_ms=0");
+    let path = format!("/manifest?version={version}");
     let mut client = Client::new(peer, CONNECT);
     let (head, body) = client
         .call(Request::get(&path), MANIFEST, MANIFEST_MAX)
--- a/crates/agent/src/slot/tables.rs
+++ b/crates/agent/src/slot/tables.rs
@@ -10,6 +10,7 @@
     },
     jayspread_core::{
         id::{DataCentre, Host},
+        spread::Holder,
         target::Targets,
     },
     jayspread_net::{admin::View, clock, datagram::Socket, members::Roster},
@@ -44,6 +45,10 @@
 pub struct Other {
     /// Version that its engine serves, 0 for none.
     pub version: u64,
+    /// Version whose pieces it holds in memory, 0 for none.
+    pub spreading: u64,
+    /// Those pieces.
+    pub pieces: BTreeSet<usize>,
     /// Time of its word.
     pub at: Instant,
 }
@@ -87,8 +92,8 @@
     pub roster: Mutex<Roster>,
     /// Pieces in memory.
     pub pieces: Mutex<Pieces>,
-    /// Wakes those that wait for a piece.
-    pub arrived: Notify,
+    /// Wakes the fetch: another agent holds more than before.
+    pub holders_changed: Notify,
     /// Goes up when a version is named.
     pub named: watch::Sender<u64>,
     /// Wakes the report: something that entry hosts should know at once has changed.
@@ -110,7 +115,7 @@
             fleet: Mutex::default(),
             roster: Mutex::new(Roster::new(seeds)),
             pieces: Mutex::default(),
-            arrived: Notify::new(),
+            holders_changed: Notify::new(),
             named: watch::Sender::new(0),
             news: Notify::new(),
             metrics: Metrics::default(),
@@ -137,11 +142,51 @@
         waiting
     }
 
-    /// Addresses and data centres of the other agents that are heard from.
+    /// Other agents that hold pieces of `version`, which has `count` of them.
+    pub fn holders(&self, version: u64, count: usize) -> BTreeMap<Host, Holder> {
+        let agents = self.agents();
+        let now = clock::now();
+        let fleet = lock(&self.fleet);
+        let mut holders = BTreeMap::new();
+        for (host, (_, data_centre)) in agents {
+            let Some(other) = fleet.get(&host) else {
+                continue;
+            };
+            if now.saturating_duration_since(other.at) >= STALE {
+                continue;
+            }
+            let pieces = if other.spreading == version {
+                other.pieces.clone()
+            } else if other.version == version {
+                // The engine that serves it has all its pieces staged.
+                (0..count).collect()
+            } else {
+                continue;
+            };
+            let region = self.region(&data_centre);
+            let holder = Holder {
+                data_centre,
+                region,
+                pieces,
+            };
+            holders.insert(host, holder);
+        }
+        holders
+    }
+
+    /// Region of a data centre.
+    pub fn region(&self, data_centre: &str) -> Box<str> {
+        let region = self.settings.regions.get(data_centre);
+        region.cloned().unwrap_or_else(|| data_centre.into())
+    }
+
+    /// Addresses and data centres of the other agents that are heard from or that others name.
     pub fn agents(&self) -> BTreeMap<Host, (Ipv4Addr, DataCentre)> {
         let roster = lock(&self.roster);
-        let agents = roster.of(Role::Agent);
-        agents
+        let others = roster
+            .known(Role::Agent)
+            .filter(|(host, _)| ***host != *self.settings.host);
+        others
             .map(|(host, c)| (host.clone(), (c.address, c.data_centre.clone())))
             .collect()
     }
--- a/crates/core/src/chunk.rs
+++ b/crates/core/src/chunk.rs
@@ -76,6 +76,9 @@
     /// data centre are spread over all hosts.
     #[default]
     Trade,
+    /// Like `Trade`, but only hosts of the origin's region ask the origin, where there are any: for
+    /// an origin whose link is slower than those between regions.
+    Once,
     /// Each data centre takes a copy from the origin; its hosts take it from one seeder.
     Seeder,
 }
@@ -208,7 +211,7 @@
         if policy == Policy::Seeder {
             return Self::from_seeder(me, &peers, &chunks, &lengths);
         }
-        let survey = Survey::new(me, &peers, &chunks, origin_region);
+        let survey = Survey::new(policy, me, &peers, &chunks, origin_region);
         let steps = chunks.iter().enumerate();
         let steps = steps.map(|(index, hash)| survey.step(index, hash, lengths[hash]));
         Self {
@@ -246,6 +249,8 @@
 /// Leaders in the groups that one host deals with.
 struct Survey<'a> {
     me: &'a Peer,
+    /// Only hosts of the origin's region ask the origin first.
+    once: bool,
     regions: Regions,
     ranked: Vec<Ranked>,
     /// Leaders over each region's hosts.
@@ -255,7 +260,13 @@
 }
 
 impl<'a> Survey<'a> {
-    fn new(me: &'a Peer, peers: &BTreeSet<Peer>, chunks: &[ChunkHash], origin: &str) -> Self {
+    fn new(
+        policy: Policy,
+        me: &'a Peer,
+        peers: &BTreeSet<Peer>,
+        chunks: &[ChunkHash],
+        origin: &str,
+    ) -> Self {
         let mut hosts: BTreeMap<Region, BTreeSet<Host>> = BTreeMap::new();
         for peer in peers {
             let region = hosts.entry(peer.region.clone()).or_default();
@@ -269,8 +280,10 @@
         let by_region = hosts
             .into_iter()
             .map(|(region, hosts)| (region, Group::new(hosts).first(REGION_LEADERS)));
+        let inside = peers.iter().any(|peer| *peer.region == *origin);
         Self {
             me,
+            once: policy == Policy::Once && inside,
             regions: Regions::new(peers, origin),
             ranked: rank(chunks),
             by_region: by_region.collect(),
@@ -282,10 +295,13 @@
         let chunk = &self.ranked[index];
         let region = &self.me.region;
         let entrance = self.regions.entrance(index);
-        let from_origin = *region == self.regions.origin || entrance == Some(region);
+        let enters = entrance == Some(region);
+        let from_origin = *region == self.regions.origin || enters && !self.once;
         let outside = match entrance {
-            Some(entrance) if !from_origin => self.by_region.get(entrance),
-            _ => None,
+            _ if from_origin => None,
+            _ if enters => self.by_region.get(&self.regions.origin),
+            Some(entrance) => self.by_region.get(entrance),
+            None => None,
         };
         let regional = &self.by_region[region];
         let duty = if regional.leader(chunk) == Some(&self.me.host) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod spread;
 pub mod swap;
 pub mod target;
 pub mod trust;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -39,6 +39,8 @@
     pub route: &'a Route,
     /// Service that runs it.
     pub backend: &'a Backend,
+    /// Region of this host.
+    pub region: &'a str,
     /// Regions that the organisation allows.
     pub regions: &'a [Region],
     /// Prompt tokens.
@@ -316,8 +318,8 @@
         choice
     }
 
-    /// Draws among the engines that answer in time, by the square of the time to spare; failing
-    /// these, the soonest of those with free slots.
+    /// Draws among the engines that answer in time, those of the own region before others, by the
+    /// square of the time to spare; failing these, the soonest of those with free slots.
     fn in_time(
         &self,
         suitable: &[Id],
@@ -326,20 +328,28 @@
         now: Instant,
     ) -> Option<Id> {
         let speed = need.backend.speed.as_ref()?;
-        let mut weights = Vec::with_capacity(suitable.len());
+        let mut near = Vec::new();
+        let mut far = Vec::new();
         let mut soonest: Option<(Duration, &Id)> = None;
         for id in suitable {
             let engine = &self.slots[id].engine;
             let expected = engine.first_event(speed, need.prompt, need.hosts, now) + RELAY;
             let spare = need.left.saturating_sub(expected).as_secs_f64();
-            weights.push(spare * spare);
+            if *engine.listing.region == *need.region {
+                near.push((id, spare * spare));
+            } else {
+                far.push((id, spare * spare));
+            }
             let occupancy = f64::from(engine.occupancy(need.hosts, now));
             let free = occupancy < f64::from(speed.slots) * LATE_FILL;
             if free && soonest.is_none_or(|(best, _)| expected < best) {
                 soonest = Some((expected, id));
             }
         }
-        draw(suitable, &weights, rng).or_else(|| soonest.map(|(_, id)| id.clone()))
+        draw(&near, rng)
+            .or_else(|| draw(&far, rng))
+            .or_else(|| soonest.map(|(_, id)| id))
+            .cloned()
     }
 
     /// The less busy of two engines drawn at random.
@@ -397,20 +407,17 @@
     version.is_some_and(|version| version >= need.least_version)
 }
 
-/// Draws an index by weight; nothing when all weights are zero.
-fn draw(ids: &[Id], weights: &[f64], rng: &mut impl Rng) -> Option<Id> {
-    let total: f64 = weights.iter().sum();
+/// Draws one by weight; nothing when all weights are zero.
+fn draw<'a>(weighted: &[(&'a Id, f64)], rng: &mut impl Rng) -> Option<&'a Id> {
+    let total: f64 = weighted.iter().map(|(_, weight)| weight).sum();
     if total <= 0.0 {
         return None;
     }
     let mut left = rng.random::<f64>() * total;
     let mut last = None;
-    for (id, weight) in ids.iter().zip(weights) {
-        if *weight <= 0.0 {
-            continue;
-        }
+    for (id, weight) in weighted.iter().filter(|(_, weight)| *weight > 0.0) {
         left -= weight;
-        last = Some(id.clone());
+        last = Some(*id);
         if left < 0.0 {
             break;
         }
--- /dev/null
+++ b/crates/core/src/spread.rs
@@ -0,0 +1,241 @@
+//! Which piece a host asks for next, and whom, while a version spreads.
+//!
+//! The chunk plan says who brings a piece into a region or a data centre. Inside a data centre every
+//! host that holds a piece passes it on, rarest first. A host asks each other one for one piece at a
+//! time, so that transfers stay short on links that carry requests as well. A piece that its leader
+//! does not bring in time is fetched from wherever it is.
+
+use {
+    crate::{
+        chunk::{Duty, Source, Step},
+        id::{DataCentre, Host, Region},
+    },
+    rand::Rng,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// Transfers of one host at once.
+pub const TRANSFERS: usize = 3;
+/// Transfers from the origin of one host at once.
+const FROM_ORIGIN: usize = 1;
+/// Time after which a piece that no host near holds is fetched from another region.
+const TAKEOVER: Duration = Duration::from_millis(2_000);
+/// Time after which a piece that no host holds is fetched from the origin by anyone.
+const LAST_RESORT: Duration = Duration::from_millis(3_500);
+/// Spread of these times over the hosts, so that not all of them take over at once.
+const STAGGER: Duration = Duration::from_millis(1_500);
+
+/// What another host holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its region.
+    pub region: Region,
+    /// Indices of its pieces.
+    pub pieces: BTreeSet<usize>,
+}
+
+/// An ask: a piece and whom to ask for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// Index of the piece.
+    pub index: usize,
+    /// Whom.
+    pub source: Source,
+}
+
+/// State of one host's share in spreading one version.
+#[derive(Debug)]
+pub struct Spread {
+    data_centre: DataCentre,
+    region: Region,
+    /// Duty for each piece; the plan's steps in the order of the pieces.
+    duties: Vec<Duty>,
+    have: BTreeSet<usize>,
+    asked: BTreeMap<usize, Source>,
+    /// Own place in the stagger, 0 to 1.
+    patience: f64,
+}
+
+impl Spread {
+    /// Starts with nothing; `steps` are the plan's, one for each piece in order.
+    pub fn new(data_centre: &str, region: &str, steps: &[Step], patience: f64) -> Self {
+        assert!((0.0..=1.0).contains(&patience), "patience is a share");
+        Self {
+            data_centre: data_centre.into(),
+            region: region.into(),
+            duties: steps.iter().map(|step| step.duty).collect(),
+            have: BTreeSet::new(),
+            asked: BTreeMap::new(),
+            patience,
+        }
+    }
+
+    /// Takes a plan over other hosts than before.
+    pub fn replan(&mut self, steps: &[Step]) {
+        assert_eq!(steps.len(), self.duties.len(), "a plan has all pieces");
+        self.duties = steps.iter().map(|step| step.duty).collect();
+    }
+
+    /// Notes a piece that is held.
+    pub fn hold(&mut self, index: usize) {
+        self.have.insert(index);
+    }
+
+    /// Whether all pieces are held.
+    pub fn complete(&self) -> bool {
+        self.have.len() == self.duties.len()
+    }
+
+    /// Notes that an ask has ended.
+    pub fn end(&mut self, index: usize) {
+        self.asked.remove(&index);
+    }
+
+    /// Chooses the next ask, `elapsed` after the version was named; nothing when none is due.
+    pub fn next(
+        &mut self,
+        holders: &BTreeMap<Host, Holder>,
+        elapsed: Duration,
+        rng: &mut impl Rng,
+    ) -> Option<Ask> {
+        if self.asked.len() >= TRANSFERS {
+            return None;
+        }
+        let ask = self
+            .from_origin()
+            .or_else(|| self.from_afar(holders, Duration::ZERO, rng))
+            .or_else(|| self.from_near(holders, rng))
+            .or_else(|| self.overdue(holders, elapsed, rng))?;
+        let before = self.asked.insert(ask.index, ask.source.clone());
+        assert!(before.is_none(), "a piece is asked for once at a time");
+        assert!(!self.have.contains(&ask.index), "a held piece is not asked for");
+        Some(ask)
+    }
+
+    fn missing(&self) -> impl Iterator<Item = usize> {
+        (0..self.duties.len())
+            .filter(|index| !self.have.contains(index) && !self.asked.contains_key(index))
+    }
+
+    fn busy(&self, host: &Host) -> bool {
+        self.asked
+            .values()
+            .any(|source| matches!(source, Source::Peer(peer) if peer == host))
+    }
+
+    fn origin_free(&self) -> bool {
+        let asked = self.asked.values();
+        asked.filter(|s| **s == Source::Origin).count() < FROM_ORIGIN
+    }
+
+    fn from_origin(&self) -> Option<Ask> {
+        if !self.origin_free() {
+            return None;
+        }
+        let index = self
+            .missing()
+            .find(|index| self.duties[*index] == Duty::Origin)?;
+        Some(Ask {
+            index,
+            source: Source::Origin,
+        })
+    }
+
+    /// A piece that this host brings into its region or data centre, from any host that holds it
+    /// outside; after `TAKEOVER` any piece.
+    fn from_afar(
+        &self,
+        holders: &BTreeMap<Host, Holder>,
+        elapsed: Duration,
+        rng: &mut impl Rng,
+    ) -> Option<Ask> {
+        let takes_over = elapsed >= TAKEOVER + STAGGER.mul_f64(self.patience);
+        let outside = |holder: &Holder, duty: Duty| match duty {
+            Duty::Region => *holder.region != *self.region,
+            Duty::DataCentre => *holder.data_centre != *self.data_centre,
+            Duty::Origin | Duty::Member => false,
+        };
+        let mut asks = Vec::new();
+        for index in self.missing() {
+            let duty = self.duties[index];
+            for (host, holder) in holders {
+                let due = takes_over || outside(holder, duty);
+                if due && holder.pieces.contains(&index) && !self.busy(host) {
+                    asks.push((index, host));
+                }
+            }
+        }
+        pick(&asks, rng)
+    }
+
+    /// The rarest piece that a host of the own data centre holds.
+    fn from_near(&self, holders: &BTreeMap<Host, Holder>, rng: &mut impl Rng) -> Option<Ask> {
+        let near: Vec<(&Host, &Holder)> = holders
+            .iter()
+            .filter(|(_, holder)| *holder.data_centre == *self.data_centre)
+            .collect();
+        let mut rarest = usize::MAX;
+        let mut asks = Vec::new();
+        for index in self.missing() {
+            let with = near.iter().filter(|(_, h)| h.pieces.contains(&index));
+            let count = with.clone().count();
+            if count == 0 || count > rarest {
+                continue;
+            }
+            let free: Vec<&Host> = with
+                .map(|(host, _)| *host)
+                .filter(|host| !self.busy(host))
+                .collect();
+            if free.is_empty() {
+                continue;
+            }
+            if count < rarest {
+                rarest = count;
+                asks.clear();
+            }
+            asks.extend(free.into_iter().map(|host| (index, host)));
+        }
+        pick(&asks, rng)
+    }
+
+    /// A piece whose leader did not bring it in time.
+    fn overdue(
+        &self,
+        holders: &BTreeMap<Host, Holder>,
+        elapsed: Duration,
+        rng: &mut impl Rng,
+    ) -> Option<Ask> {
+        if let Some(ask) = self.from_afar(holders, elapsed, rng) {
+            return Some(ask);
+        }
+        let due = elapsed >= LAST_RESORT + STAGGER.mul_f64(self.patience);
+        if !due || !self.origin_free() {
+            return None;
+        }
+        let unheld = |index: &usize| holders.values().all(|h| !h.pieces.contains(index));
+        let missing: Vec<usize> = self.missing().filter(unheld).collect();
+        if missing.is_empty() {
+            return None;
+        }
+        Some(Ask {
+            index: missing[rng.random_range(0..missing.len())],
+            source: Source::Origin,
+        })
+    }
+}
+
+fn pick(asks: &[(usize, &Host)], rng: &mut impl Rng) -> Option<Ask> {
+    if asks.is_empty() {
+        return None;
+    }
+    let (index, host) = asks[rng.random_range(0..asks.len())];
+    Some(Ask {
+        index,
+        source: Source::Peer(host.clone()),
+    })
+}
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -279,6 +279,7 @@
         let need = Need {
             route: &self.route,
             backend,
+            region: &self.site.region,
             regions: self.tenant.as_ref().map_or(&[], |t| &t.regions),
             prompt: self.ask.prompt,
             left: self.objective_left(),
--- a/crates/entry/src/front/site.rs
+++ b/crates/entry/src/front/site.rs
@@ -53,6 +53,8 @@
 pub struct Site {
     /// Settings.
     pub settings: Settings,
+    /// Region of this host.
+    pub region: Box<str>,
     /// Socket towards the other processes.
     pub socket: Socket,
     /// Records as applied.
@@ -92,7 +94,9 @@
     pub fn new(settings: Settings, socket: Socket, dropped: ErrorCounter) -> Arc<Self> {
         let now = clock::now();
         let seeds = settings.seeds.clone();
+        let region = settings.regions.get(&settings.data_centre);
         Arc::new(Self {
+            region: region.unwrap_or(&settings.data_centre).clone(),
             socket,
             mirrors: Mutex::default(),
             catalog: Mutex::default(),
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -144,7 +144,7 @@
             let seeds = self.seeds.iter().filter(|seed| **seed != me);
             return seeds.copied().collect();
         }
-        let entries: Vec<Ipv4Addr> = self.of(Role::Entry).map(|(_, c)| c.address).collect();
+        let entries: Vec<Ipv4Addr> = self.known(Role::Entry).map(|(_, c)| c.address).collect();
         let index = self.turn % entries.len().max(1);
         entries.get(index).copied().into_iter().collect()
     }
@@ -156,6 +156,14 @@
             .filter(move |(host, c)| c.role == role && self.health.usable(host))
     }
 
+    /// Members of a role that are heard from, or that others name and that were not heard yet.
+    pub fn known(&self, role: Role) -> impl Iterator<Item = (&Box<str>, &Contact)> {
+        self.contacts.iter().filter(move |(host, c)| {
+            let unheard = !c.heard && self.health.health(host) == Health::Unknown;
+            c.role == role && (unheard || self.health.usable(host))
+        })
+    }
+
     /// Members of a role that beats go to: all that are known, heard from or only named.
     pub fn addresses(&self, role: Role, me: Ipv4Addr) -> Vec<Ipv4Addr> {
         let fitting = self.contacts.values().filter(|c| c.role == role);
