Load turns are spread evenly over the pool and its data centres

Cause: the turn was a rank among hosts still waiting, which sped up as others finished, so that half of the engines were out at once.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -31,8 +31,9 @@
 const NOTICE: Duration = Duration::from_millis(100);
 /// Reads in a row that fail before the engine counts as silent.
 const FAILURES: u32 = 2;
-/// Time from the naming of a version until its pieces are usually staged.
-const USUALLY_STAGED: Duration = Duration::from_millis(4_500);
+/// Share of a version's pieces from which its fetch is finished although a newer one is named:
+/// the engines that load it spread the load of both versions over time.
+const WORTH_FINISHING: f64 = 0.6;
 
 /// State of the loop.
 pub struct Control {
@@ -175,8 +176,7 @@
         self.handle(&Event::Want(want));
     }
 
-    /// Whether the version wanted so far gives way to a newer one: it is served, or the newer one
-    /// will be there before the bound of the older.
+    /// Whether the version wanted so far gives way to a newer one.
     fn yields_to(&self, newest: Named) -> bool {
         let Some(want) = self.want else {
             return true;
@@ -184,22 +184,35 @@
         if newest.version <= want.version {
             return false;
         }
-        let serves = lock(&self.slot.seen).version() >= want.version;
-        let bound = want.since + self.slot.settings.bounds.version;
-        serves || self.staged.is_none() || newest.since + USUALLY_STAGED <= bound
+        let serves = lock(&self.slot.seen).version();
+        let fetching = self
+            .job
+            .as_ref()
+            .is_some_and(|(of, task)| *of == want.version && !task.is_finished());
+        let held = fetching || lock(&self.slot.pieces).complete(want.version);
+        serves >= want.version || !held || self.turn(want, serves, |turn| turn.skips(newest))
+    }
+
+    /// Asks for the turn at loading a version.
+    fn turn<T>(&self, next: Named, serves: u64, ask: impl FnOnce(&Turn<'_>) -> T) -> T {
+        let settings = &self.slot.settings;
+        ask(&Turn {
+            me: &settings.host,
+            data_centre: &settings.data_centre,
+            pool: &self.slot.pool(),
+            serves,
+            next,
+            bound: settings.bounds.version,
+        })
     }
 
     /// Fetches the newest version unless the engine serves it or its pieces are held.
     fn fetch(&mut self, newest: Named) {
         let version = newest.version;
         let serves = lock(&self.slot.seen).version() >= version;
-        let running = self
-            .job
-            .as_ref()
-            .is_some_and(|(of, task)| *of == version && !task.is_finished());
         let complete = lock(&self.slot.pieces).complete(version);
         let unread = lock(&self.slot.seen).state.is_none();
-        if serves || running || complete || unread {
+        if serves || complete || unread || self.busy_with(version) {
             return;
         }
         if let Some((_, task)) = self.job.take() {
@@ -211,6 +224,15 @@
         self.job = Some((version, task));
     }
 
+    /// Whether the running fetch is of this version, or of an older one that is worth finishing.
+    fn busy_with(&self, version: u64) -> bool {
+        let Some((of, task)) = &self.job else {
+            return false;
+        };
+        let nearly = *of < version && lock(&self.slot.pieces).share(*of) >= WORTH_FINISHING;
+        !task.is_finished() && (*of == version || nearly)
+    }
+
     /// Stages the wanted version once its pieces are there, and asks for the turn.
     async fn prepare(&mut self) {
         let Some(want) = self.want else {
@@ -235,16 +257,8 @@
             );
             self.handle(&Event::Complete(want.version.to_string().into()));
         }
-        let waiting = self.slot.waiting(want.version);
-        let turn = Turn {
-            me: &self.slot.settings.host,
-            waiting: &waiting,
-            serves,
-            version: want.version,
-            named: want.since,
-            bound: self.slot.settings.bounds.version,
-        };
-        let granted = clock::now() >= turn.due();
+        let due = self.turn(want, serves, |turn| turn.due());
+        let granted = clock::now() >= due;
         self.handle(&Event::Grant(granted));
     }
 
--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -9,7 +9,7 @@
         clock, event,
         members::{self, BEAT},
     },
-    jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
+    jayspread_schema::peer::{Engine, Entry, Packet, Role, Spread, Target, packet::Body},
     std::{
         collections::BTreeSet,
         io,
@@ -61,8 +61,11 @@
         Some(Body::Engine(engine)) => {
             let other = Other {
                 version: engine.version,
-                spreading: engine.spreading,
-                pieces: indices(&engine.pieces),
+                spreads: engine
+                    .spreads
+                    .iter()
+                    .map(|spread| (spread.version, indices(&spread.pieces)))
+                    .collect(),
                 at: now,
             };
             lock(&slot.fleet).insert(packet.host.into(), other);
@@ -155,10 +158,12 @@
         engine.pace = (state.load.pace * 1e2) as u32;
         engine.closed |= state.busy;
     }
-    if let Some((version, pieces)) = lock(&slot.pieces).spreading() {
-        engine.spreading = version;
-        engine.pieces = bits(&pieces).into();
-    }
+    let pieces = lock(&slot.pieces);
+    let spreads = pieces.spreading().map(|(version, pieces)| Spread {
+        version,
+        pieces: bits(&pieces).into(),
+    });
+    engine.spreads = spreads.collect();
     engine
 }
 
@@ -174,8 +179,8 @@
             .is_none_or(|(sent, at)| *sent != engine || now >= *at + BEAT);
         let beats = beat.is_none_or(|at| now >= at + BEAT);
         let turned = last.as_ref().is_some_and(|(sent, _)| {
-            (sent.version, sent.answers, &sent.pieces)
-                != (engine.version, engine.answers, &engine.pieces)
+            (sent.version, sent.answers, &sent.spreads)
+                != (engine.version, engine.answers, &engine.spreads)
         });
         if due || beats {
             report(&slot, &engine, beats || turned);
--- a/crates/agent/src/slot/pieces.rs
+++ b/crates/agent/src/slot/pieces.rs
@@ -72,12 +72,25 @@
         true
     }
 
-    /// Newest version with pieces in memory, and which ones.
-    pub fn spreading(&self) -> Option<(u64, Vec<usize>)> {
-        let (version, held) = self.versions.iter().rev().find(|(_, held)| !held.released)?;
-        let pieces = held.pieces.iter().enumerate();
-        let present = pieces.filter(|(_, piece)| piece.is_some());
-        Some((*version, present.map(|(index, _)| index).collect()))
+    /// Versions with pieces in memory, and which ones.
+    pub fn spreading(&self) -> impl Iterator<Item = (u64, Vec<usize>)> {
+        self.versions
+            .iter()
+            .filter(|(_, held)| !held.released)
+            .map(|(version, held)| {
+                let pieces = held.pieces.iter().enumerate();
+                let present = pieces.filter(|(_, piece)| piece.is_some());
+                (*version, present.map(|(index, _)| index).collect())
+            })
+    }
+
+    /// Share of a version's pieces that is in memory.
+    pub fn share(&self, version: u64) -> f64 {
+        let Some(held) = self.versions.get(&version) else {
+            return 0.0;
+        };
+        let present = held.pieces.iter().filter(|piece| piece.is_some()).count();
+        present as f64 / held.pieces.len().max(1) as f64
     }
 
     /// Whether all pieces of a version are in memory.
--- a/crates/agent/src/slot/tables.rs
+++ b/crates/agent/src/slot/tables.rs
@@ -45,10 +45,8 @@
 pub struct Other {
     /// Version that its engine serves, 0 for none.
     pub version: u64,
-    /// Version whose pieces it holds in memory, 0 for none.
-    pub spreading: u64,
-    /// Those pieces.
-    pub pieces: BTreeSet<usize>,
+    /// Pieces that it holds in memory, by version.
+    pub spreads: BTreeMap<u64, BTreeSet<usize>>,
     /// Time of its word.
     pub at: Instant,
 }
@@ -128,18 +126,24 @@
         lock(&self.source).clone()
     }
 
-    /// Agents of the pool whose engines still have to load `version`, this one included.
-    pub fn waiting(&self, version: u64) -> BTreeSet<Host> {
+    /// Agents whose engines serve, this one included, by data centre.
+    pub fn pool(&self) -> BTreeMap<DataCentre, BTreeSet<Host>> {
+        let agents = self.agents();
         let now = clock::now();
         let fleet = lock(&self.fleet);
-        let behind = |other: &Other| {
-            let fresh = now.saturating_duration_since(other.at) < STALE;
-            fresh && other.version != 0 && other.version < version
-        };
-        let others = fleet.iter().filter(|(_, other)| behind(other));
-        let mut waiting: BTreeSet<Host> = others.map(|(host, _)| host.clone()).collect();
-        waiting.insert(self.settings.host.clone());
-        waiting
+        let mut pool: BTreeMap<DataCentre, BTreeSet<Host>> = BTreeMap::new();
+        let own = (
+            self.settings.data_centre.clone(),
+            self.settings.host.clone(),
+        );
+        pool.entry(own.0).or_default().insert(own.1);
+        for (host, (_, data_centre)) in agents {
+            let heard = fleet.get(&host);
+            if heard.is_some_and(|other| now.saturating_duration_since(other.at) < STALE) {
+                pool.entry(data_centre).or_default().insert(host);
+            }
+        }
+        pool
     }
 
     /// Other agents that hold pieces of `version`, which has `count` of them.
@@ -155,8 +159,8 @@
             if now.saturating_duration_since(other.at) >= STALE {
                 continue;
             }
-            let pieces = if other.spreading == version {
-                other.pieces.clone()
+            let pieces = if let Some(pieces) = other.spreads.get(&version) {
+                pieces.clone()
             } else if other.version == version {
                 // The engine that serves it has all its pieces staged.
                 (0..count).collect()
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -107,13 +107,16 @@
             return None;
         }
         let ask = self
-            .from_origin()
+            .from_origin(holders)
             .or_else(|| self.from_afar(holders, Duration::ZERO, rng))
             .or_else(|| self.from_near(holders, rng))
             .or_else(|| self.overdue(holders, elapsed, rng))?;
         let before = self.asked.insert(ask.index, ask.source.clone());
         assert!(before.is_none(), "a piece is asked for once at a time");
-        assert!(!self.have.contains(&ask.index), "a held piece is not asked for");
+        assert!(
+            !self.have.contains(&ask.index),
+            "a held piece is not asked for"
+        );
         Some(ask)
     }
 
@@ -122,6 +125,10 @@
             .filter(|index| !self.have.contains(index) && !self.asked.contains_key(index))
     }
 
+    fn near(&self, holder: &Holder) -> bool {
+        *holder.data_centre == *self.data_centre
+    }
+
     fn busy(&self, host: &Host) -> bool {
         self.asked
             .values()
@@ -133,13 +140,17 @@
         asked.filter(|s| **s == Source::Origin).count() < FROM_ORIGIN
     }
 
-    fn from_origin(&self) -> Option<Ask> {
+    fn from_origin(&self, holders: &BTreeMap<Host, Holder>) -> Option<Ask> {
         if !self.origin_free() {
             return None;
         }
+        let held = |index: &usize| {
+            let mut near = holders.values().filter(|h| self.near(h));
+            near.any(|holder| holder.pieces.contains(index))
+        };
         let index = self
             .missing()
-            .find(|index| self.duties[*index] == Duty::Origin)?;
+            .find(|index| self.duties[*index] == Duty::Origin && !held(index))?;
         Some(Ask {
             index,
             source: Source::Origin,
@@ -177,7 +188,7 @@
     fn from_near(&self, holders: &BTreeMap<Host, Holder>, rng: &mut impl Rng) -> Option<Ask> {
         let near: Vec<(&Host, &Holder)> = holders
             .iter()
-            .filter(|(_, holder)| *holder.data_centre == *self.data_centre)
+            .filter(|(_, holder)| self.near(holder))
             .collect();
         let mut rarest = usize::MAX;
         let mut asks = Vec::new();
--- a/crates/core/src/swap.rs
+++ b/crates/core/src/swap.rs
@@ -5,51 +5,77 @@
 //! serve any more. An engine without a version loads at once.
 
 use {
-    crate::id::{self, Host},
+    crate::{
+        id::{self, DataCentre, Host},
+        target::Named,
+    },
     std::{
-        collections::BTreeSet,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
 };
 
-/// Time kept free before the bound for the work that is running when the order comes.
-const RESERVE: Duration = Duration::from_millis(1_500);
-/// Time after naming before which no turn begins, while most agents still fetch.
-const SPREAD: Duration = Duration::from_millis(3_000);
+/// Time kept free before the bound; once an engine has its order, nothing begins there on the older
+/// version.
+const RESERVE: Duration = Duration::from_millis(700);
+/// Time from the naming of a version until its pieces are usually staged.
+pub const USUALLY_STAGED: Duration = Duration::from_millis(3_400);
+/// Time before the arrival of a newer version in which turns on an older one wait for it.
+const JUMP: Duration = Duration::from_millis(1_200);
 
 /// What one agent knows when it asks for its turn.
 #[derive(Debug, Clone)]
 pub struct Turn<'a> {
     /// Own host.
     pub me: &'a str,
-    /// Hosts of the pool that still have to load the version, the own one included.
-    pub waiting: &'a BTreeSet<Host>,
+    /// Own data centre.
+    pub data_centre: &'a str,
+    /// Hosts of the pool by data centre, the own one included.
+    pub pool: &'a BTreeMap<DataCentre, BTreeSet<Host>>,
     /// Version that the engine serves, 0 for none.
     pub serves: u64,
-    /// Version that is staged.
-    pub version: u64,
-    /// Time at which it was named.
-    pub named: Instant,
+    /// The version to load.
+    pub next: Named,
     /// Time after naming from which older versions may not begin work.
     pub bound: Duration,
 }
 
 impl Turn<'_> {
-    /// Time at which this engine's order is due.
+    /// Time at which this engine's order is due. Within a data centre the turns are spread evenly;
+    /// those of different data centres fall between each other.
     pub fn due(&self) -> Instant {
         if self.serves == 0 {
-            return self.named;
+            return self.next.since;
         }
         let last = self.bound.saturating_sub(RESERVE);
-        let first = SPREAD.min(last);
-        let subject = self.version.to_le_bytes();
+        let first = USUALLY_STAGED.min(last);
+        self.next.since + first + (last - first).mul_f64(self.place())
+    }
+
+    /// Place among all turns, 0 to 1.
+    fn place(&self) -> f64 {
+        let subject = self.next.version.to_le_bytes();
         let own = id::score(&subject, self.me);
-        let before = self
-            .waiting
+        let near = self.pool.get(self.data_centre);
+        let near: Vec<&Host> = near.into_iter().flatten().collect();
+        let before = near
             .iter()
-            .filter(|host| ***host != *self.me && id::score(&subject, host) > own);
-        let rank = before.count() as u32;
-        let count = self.waiting.len().max(1) as u32;
-        self.named + first + (last - first) * rank / count
+            .filter(|host| host.as_ref() != self.me && id::score(&subject, host) > own);
+        let rank = before.count() as f64;
+        let centres = self.pool.len().max(1) as f64;
+        let centre = self
+            .pool
+            .keys()
+            .position(|name| **name == *self.data_centre);
+        let offset = centre.unwrap_or(0) as f64 / centres;
+        (rank + offset) / near.len().max(1) as f64
+    }
+
+    /// Whether this engine leaves the version out for a newer one: the newer one arrives before the
+    /// bound of this one, and soon after this engine's turn.
+    pub fn skips(&self, newer: Named) -> bool {
+        let arrives = newer.since + USUALLY_STAGED;
+        let bound = self.next.since + self.bound.saturating_sub(RESERVE);
+        arrives <= bound && self.due() + JUMP >= arrives
     }
 }
