Credit by turns, first tries before returners, short hold, store watch by topic

Cause: in overload all entry hosts saw the same free slot and sent at once (first events 0.3 to 0.7 s later than expected for a tenth), and callers that had been sent away, late already, took the places of first tries. Ruled out: pauses of streams (none over the aim).

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -16,6 +16,10 @@
 
 /// Age from which a report says nothing about the present load.
 const REPORT_STALE: Duration = Duration::from_millis(1_500);
+/// Age up to which the credit that a report gives may be spent.
+const CREDIT_FRESH: Duration = Duration::from_millis(300);
+/// Requests that may wait at an engine for a slot, so that none stays empty between two reports.
+const AHEAD: u32 = 2;
 /// Window of the bound on requests to a cold engine.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Share of a pass that an arriving request waits on average until the next one begins.
@@ -72,9 +76,37 @@
     pub pace: f64,
 }
 
+/// This host's place among the entry hosts that got the same report. It goes round from report to
+/// report, so that all hosts know without talking whose turn a free slot is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Turn {
+    /// Place, from 0.
+    pub place: u32,
+    /// Entry hosts.
+    pub of: u32,
+}
+
+impl Turn {
+    /// Place of the host at `index` for the report with that sequence number.
+    pub fn new(index: usize, of: usize, sequence: u64) -> Self {
+        let of = of.max(1) as u64;
+        Self {
+            place: ((index as u64 + sequence) % of) as u32,
+            of: of as u32,
+        }
+    }
+
+    /// This host's part of `count` free places.
+    fn share(self, count: u32) -> u32 {
+        count / self.of + u32::from(self.place < count % self.of)
+    }
+}
+
 /// What an agent says of the engine beside it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
+    /// Whose turn it is.
+    pub turn: Turn,
     /// Whether the engine answers.
     pub answers: bool,
     /// Load.
@@ -107,6 +139,8 @@
     seen: Option<Seen>,
     /// Time and content of the last report of its agent.
     report: Option<(Instant, Report)>,
+    /// Requests that this host may still send until the next report.
+    credit: u32,
     cold_until: Instant,
     recent: Window,
 }
@@ -122,6 +156,7 @@
             connections: 0,
             seen: None,
             report: None,
+            credit: 0,
             cold_until,
             recent: Window::new(COLD_WINDOW),
         }
@@ -137,12 +172,36 @@
 
     /// Takes its agent's report.
     pub fn hear(&mut self, report: Report, now: Instant) {
-        self.observe(report.load, now);
+        let occupied = report.load.running + report.load.waiting;
+        let free = (self.listing.slots + AHEAD).saturating_sub(occupied);
+        self.credit = report.turn.share(free);
+        self.see(report.load, now);
         self.report = Some((now, report));
     }
 
-    /// Takes the load that an answer of the engine carries.
+    /// Whether this host may send another request without crowding out the others; `hosts` send
+    /// to the engine.
+    pub fn open(&self, hosts: usize, now: Instant) -> bool {
+        if self.reported(CREDIT_FRESH, now) {
+            return self.credit > 0;
+        }
+        let share = (self.listing.slots + AHEAD) / hosts.max(1) as u32;
+        self.own < share.max(1)
+    }
+
+    fn reported(&self, age: Duration, now: Instant) -> bool {
+        let report = self.report.as_ref();
+        report.is_some_and(|(at, _)| now.saturating_duration_since(*at) < age)
+    }
+
+    /// Takes the load that an answer of the engine carries, unless its agent's word is fresher.
     pub fn observe(&mut self, load: Load, now: Instant) {
+        if !self.reported(CREDIT_FRESH, now) {
+            self.see(load, now);
+        }
+    }
+
+    fn see(&mut self, load: Load, now: Instant) {
         self.seen = Some(Seen {
             load,
             own: self.own,
@@ -158,6 +217,7 @@
     /// Counts a request that is about to be sent.
     pub fn begin(&mut self, now: Instant) {
         self.own += 1;
+        self.credit = self.credit.saturating_sub(1);
         self.recent.add(now);
     }
 
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -26,9 +26,9 @@
 /// Waiting requests that a plain service's engine takes, as a multiple of its slots.
 const PLAIN_WAITING: u32 = 2;
 /// Shortest delay suggested to a refused caller.
-const RETRY_MIN: Duration = Duration::from_millis(300);
+const RETRY_MIN: Duration = Duration::from_millis(950);
 /// Longest delay suggested to a refused caller.
-const RETRY_MAX: Duration = Duration::from_millis(1_800);
+const RETRY_MAX: Duration = Duration::from_millis(1_900);
 /// Time that a listing which lapsed during an outage of the store has to come back.
 pub const LAPSE: Duration = Duration::from_secs(2);
 
@@ -270,6 +270,9 @@
         let mut suitable = Vec::new();
         let mut distrusted = Vec::new();
         for (id, slot) in &mut self.slots {
+            if slot.lapses.is_some_and(|until| now >= until) {
+                continue;
+            }
             if !suits(&slot.engine, need, &self.evacuated, now) || !slot.engine.bears(rate, now) {
                 continue;
             }
@@ -333,6 +336,9 @@
         let mut soonest: Option<(Duration, &Id)> = None;
         for id in suitable {
             let engine = &self.slots[id].engine;
+            if !engine.open(need.hosts, now) {
+                continue;
+            }
             let expected = engine.first_event(speed, need.prompt, need.hosts, now) + RELAY;
             let spare = need.left.saturating_sub(expected).as_secs_f64();
             if *engine.listing.region == *need.region {
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -2,18 +2,17 @@
 
 use {
     crate::{
-        front::{site::Site, watch},
+        front::site::{Ends, Site},
         shared::lock,
     },
     jayspread_core::{
-        engine::{Load, Report},
+        engine::{Load, Report, Turn},
         place::Table,
     },
     jayspread_net::{
         clock, event,
         members::{self, BEAT},
     },
-    jayspread_platform::store::Topic,
     jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
     std::{
         collections::BTreeSet,
@@ -61,7 +60,7 @@
         }
         Some(Body::Members(list)) => lock(&site.roster).named(&list, now),
         Some(Body::Entry(entry)) => peer(site, &entry, from),
-        Some(Body::Engine(engine)) => report(site, &engine),
+        Some(Body::Engine(engine)) => report(site, &engine, packet.sequence),
         None => {}
     }
 }
@@ -73,20 +72,30 @@
         let since = clock::now().checked_sub(age).unwrap_or_else(clock::now);
         lock(&site.targets).name(&target.model, target.version, since);
     }
-    let ends = |topic| watch::mirror(site, topic, |m| m.end()).unwrap_or(0);
-    let behind = |topic, end: u64| ends(topic) < end;
-    if behind(Topic::Operator, entry.operator_end) || behind(Topic::Engines, entry.engines_end) {
-        site.behind.send_modify(|n| *n += 1);
-        site.ahead(from, entry.operator_end, entry.engines_end);
+    let seen = Ends {
+        operator: entry.operator_end,
+        engines: entry.engines_end,
+    };
+    site.ahead.send_if_modified(|ahead| {
+        let most = Ends {
+            operator: ahead.operator.max(seen.operator),
+            engines: ahead.engines.max(seen.engines),
+        };
+        std::mem::replace(ahead, most) != most
+    });
+    if site.lacks(seen) {
+        site.ask_peer(from, seen);
     }
 }
 
-fn report(site: &Site, engine: &Engine) {
+fn report(site: &Site, engine: &Engine, sequence: u64) {
+    let (index, of) = lock(&site.roster).place(&site.settings.host, Role::Entry);
     let address = SocketAddr::new(
         IpAddr::V4(Ipv4Addr::from_bits(engine.address)),
         engine.port as u16,
     );
     let report = Report {
+        turn: Turn::new(index, of, sequence),
         answers: engine.answers,
         load: Load {
             running: engine.running,
@@ -104,9 +113,7 @@
     let catalog = site.catalog();
     let origin = catalog.as_ref().and_then(|c| c.origin());
     let now = clock::now();
-    let mirrors = lock(&site.mirrors);
-    let ends = (mirrors.operator.end(), mirrors.engines.end());
-    drop(mirrors);
+    let ends = site.ends();
     let mut targets = Vec::new();
     if let Some(catalog) = &catalog {
         for backend in catalog.services.values() {
@@ -133,8 +140,8 @@
     }
     Body::Entry(Entry {
         revision: catalog.map_or(0, |c| c.revision),
-        operator_end: ends.0.unwrap_or(0),
-        engines_end: ends.1.unwrap_or(0),
+        operator_end: ends.operator,
+        engines_end: ends.engines,
         targets,
     })
 }
--- a/crates/entry/src/front/peers.rs
+++ b/crates/entry/src/front/peers.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         front::{
-            site::Site,
+            site::{Ends, Site},
             watch::{self, mirror},
         },
         shared::lock,
@@ -19,7 +19,7 @@
     prost::Message,
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
-        sync::Arc,
+        sync::{Arc, atomic::Ordering},
         time::Duration,
     },
     tokio::time,
@@ -28,7 +28,7 @@
 /// Path under which peers ask for records.
 const PATH: &str = "/records";
 /// Time that the store has to show what a peer has seen before the peer is asked.
-const PATIENCE: Duration = Duration::from_millis(400);
+const PATIENCE: Duration = Duration::from_millis(700);
 /// Time for one call.
 const CALL: Duration = Duration::from_millis(1_500);
 /// Time to connect.
@@ -80,21 +80,34 @@
 }
 
 impl Site {
-    /// Notes that a peer has seen more of the store; asks it when the store itself does not show
-    /// it soon. One such question runs at a time.
-    pub fn ahead(self: &Arc<Self>, peer: Ipv4Addr, operator_end: u64, engines_end: u64) {
-        if self.asking.swap(true, std::sync::atomic::Ordering::AcqRel) {
+    /// Ends of the records that this host has applied.
+    pub fn ends(&self) -> Ends {
+        let mirrors = lock(&self.mirrors);
+        Ends {
+            operator: mirrors.operator.end().unwrap_or(0),
+            engines: mirrors.engines.end().unwrap_or(0),
+        }
+    }
+
+    /// Whether a peer has seen more of the store than this host.
+    pub fn lacks(&self, seen: Ends) -> bool {
+        let own = self.ends();
+        own.operator < seen.operator || own.engines < seen.engines
+    }
+
+    /// Asks a peer for what it has seen, unless the store itself shows it soon. One such question
+    /// runs at a time.
+    pub fn ask_peer(self: &Arc<Self>, peer: Ipv4Addr, seen: Ends) {
+        if self.asking.swap(true, Ordering::AcqRel) {
             return;
         }
         let site = Arc::clone(self);
         tokio::spawn(async move {
             time::sleep(PATIENCE).await;
-            let ends = |topic| mirror(&site, topic, |m| m.end()).unwrap_or(0);
-            if ends(Topic::Operator) < operator_end || ends(Topic::Engines) < engines_end {
+            if site.lacks(seen) {
                 pull(&site, peer).await;
             }
-            site.asking
-                .store(false, std::sync::atomic::Ordering::Release);
+            site.asking.store(false, Ordering::Release);
         });
     }
 }
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -47,8 +47,16 @@
 const ANSWER_MAX: usize = 16 << 20;
 /// Time left below which sending is of no use.
 const LEAST_LEFT: Duration = Duration::from_millis(5);
-/// Share of the usual patience below which a caller has tried before, percent.
-const RETURNED_PERCENT: u32 = 95;
+/// Part of a route's objective for which a request waits for a place when all are taken; longer
+/// than that, the caller is better served by an early refusal.
+const HOLD: u32 = 8;
+/// Delay suggested to a caller who yields to first tries.
+const YIELD: Duration = Duration::from_millis(1_500);
+/// Pause between two looks for a place.
+const LOOK: Duration = Duration::from_millis(10);
+/// Share of the objective within which the answer to a caller who was sent away before must be
+/// expected: such an answer is late already, and must not make others late.
+const RETURNED_SHARE: f64 = 0.55;
 
 /// A request under way.
 pub struct Job {
@@ -70,6 +78,8 @@
     /// Where it stands.
     pub call: Call,
     avoid: Vec<Engine>,
+    /// Its caller was sent away before.
+    returned: bool,
     /// What was decided on it.
     pub trace: Option<Trace>,
     closed: bool,
@@ -130,16 +140,18 @@
     let call = Call::new(route.kind, route.attempts, ask.after);
     let service = route.target(rand::random()).clone();
     site.count_request(&service);
+    let returned = ask.patience.is_some_and(|p| site.returned(&route, p));
     let mut trace = Trace::new(&ask.id, site.settings.own.log_sample);
     trace.note(
         "received",
         format_args!(
-            "route={} kind={:?} organisation={} prompt={} patience_ms={} revision={}",
+            "route={} kind={:?} organisation={} prompt={} patience_ms={} returned={} revision={}",
             route.name,
             route.kind,
             tenant.as_ref().map_or("none", |t| &t.name),
             ask.prompt,
             patience.as_millis(),
+            returned,
             catalog.revision
         ),
     );
@@ -157,6 +169,7 @@
         deadline,
         call,
         avoid: Vec::new(),
+        returned,
         trace: Some(trace),
         closed: false,
     })
@@ -270,6 +283,28 @@
         }
     }
 
+    /// Waits a little for a place when all are taken.
+    async fn place(&mut self) -> Result<Choice, Refusal> {
+        let first = !self.returned && self.call.sent() == 0;
+        if self.returned && self.route.kind.streams() && self.site.pressed(&self.service) {
+            return Err(Refusal::Busy(YIELD));
+        }
+        let hold = self.route.objective / HOLD;
+        loop {
+            match self.choose() {
+                Err(Refusal::Busy(_)) if first && self.age() + LOOK < hold => {
+                    time::sleep(LOOK).await;
+                }
+                chosen => {
+                    if first && matches!(chosen, Err(Refusal::Busy(_))) {
+                        self.site.press(&self.service);
+                    }
+                    return chosen;
+                }
+            }
+        }
+    }
+
     /// Chooses an engine; the request has not run if that fails before the first send.
     fn choose(&mut self) -> Result<Choice, Refusal> {
         let hosts = self.site.hosts();
@@ -296,14 +331,16 @@
         backend.ok_or(Refusal::NoEngine(STARTING))
     }
 
-    /// Time left until the answer is late. One whose caller has tried before, or that goes on after
-    /// a failure, is late already and gets the whole time again.
+    /// Time in which the answer should begin: until it is late. A request that goes on after a failure
+    /// is late already and gets the whole time again; one whose caller was sent away before gets
+    /// part of it.
     fn objective_left(&self) -> Duration {
-        let patience = self.ask.patience.unwrap_or(self.route.timeout);
-        let returned = patience < self.route.timeout * RETURNED_PERCENT / 100;
-        if returned || self.call.sent() > 0 {
+        if self.call.sent() > 0 {
             return self.route.objective;
         }
+        if self.returned {
+            return self.route.objective.mul_f64(RETURNED_SHARE);
+        }
         self.route.objective.saturating_sub(self.age())
     }
 
@@ -314,7 +351,7 @@
             if self.left() < LEAST_LEFT {
                 return Err(self.out_of_time());
             }
-            let choice = match self.choose() {
+            let choice = match self.place().await {
                 Ok(choice) => choice,
                 Err(refusal) => return Err(self.refused(refusal)),
             };
--- a/crates/entry/src/front/site.rs
+++ b/crates/entry/src/front/site.rs
@@ -1,6 +1,6 @@
 //! Tables shared by the tasks of an entry host on the platform.
 //!
-//! Lock order: `mirrors`, `catalog`, `targets`, `budgets`, `table`, `roster`, `hosts`, `pool`. A
+//! Lock order: `mirrors`, `catalog`, `targets`, `budgets`, `patience`, `pressed`, `table`, `roster`, `hosts`, `pool`. A
 //! task takes at most two at once, in this order, and holds none across an await.
 
 use {
@@ -9,10 +9,14 @@
         shared::lock,
     },
     jayspread_core::{
-        catalog::Catalog, engine::Engine, place::Table, target::Targets, window::Budget,
+        catalog::{Catalog, Route},
+        engine::Engine,
+        place::Table,
+        target::Targets,
+        window::Budget,
     },
     jayspread_net::{admin::View, clock, datagram::Socket, event, members::Roster},
-    jayspread_platform::settings::Settings,
+    jayspread_platform::{settings::Settings, store::Topic},
     jayspread_schema::peer::Role,
     serde_json::{Value, json},
     std::{
@@ -30,8 +34,16 @@
 /// Time for which the largest number of entry hosts seen counts for shared limits; a host that is
 /// out of sight may still send.
 const HOSTS_MEMORY: Duration = Duration::from_secs(15);
-/// Time kept free before a version's bound, for what is under way and for late news.
-const VERSION_MARGIN: Duration = Duration::from_millis(800);
+/// Time kept free before a version's bound: late news, and requests that wait in an engine's queue
+/// before they begin.
+const VERSION_MARGIN: Duration = Duration::from_millis(1_400);
+
+/// Share of the longest patience on a route below which a caller has tried before, percent; callers
+/// differ by less than that among themselves.
+const RETURNED_PERCENT: u32 = 85;
+
+/// Time for which a first try that found no place counts as pressure.
+const PRESSED: Duration = Duration::from_millis(400);
 
 /// Records followed by an entry host.
 #[derive(Debug, Default)]
@@ -42,6 +54,26 @@
     pub engines: Mirror,
 }
 
+/// Ends of the records that were applied.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Ends {
+    /// Of what the operator writes.
+    pub operator: u64,
+    /// Of the list of engines.
+    pub engines: u64,
+}
+
+impl Ends {
+    /// End in one topic.
+    pub fn of(self, topic: Topic) -> u64 {
+        match topic {
+            Topic::Operator => self.operator,
+            Topic::Engines => self.engines,
+            Topic::Hosts => 0,
+        }
+    }
+}
+
 /// Largest number of entry hosts seen lately.
 #[derive(Debug, Clone, Copy)]
 struct Peak {
@@ -65,6 +97,10 @@
     pub targets: Mutex<Targets>,
     /// Budgets of repeats by service.
     pub budgets: Mutex<BTreeMap<Box<str>, Budget>>,
+    /// Longest time that callers of each route were willing to wait.
+    patience: Mutex<BTreeMap<Box<str>, Duration>>,
+    /// Time at which a request of each service last found no place on its first try.
+    pressed: Mutex<BTreeMap<Box<str>, Instant>>,
     /// Engines.
     pub table: Mutex<Table>,
     /// Other processes.
@@ -76,8 +112,8 @@
     pub metrics: Metrics,
     /// Wakes the beat: something that others should know has changed.
     pub news: Notify,
-    /// Goes up when a peer has seen more of the store than this host.
-    pub behind: watch::Sender<u64>,
+    /// How far peers have seen the store.
+    pub ahead: watch::Sender<Ends>,
     /// A peer is being asked for records.
     pub asking: AtomicBool,
     /// Set when the process stops.
@@ -102,13 +138,15 @@
             catalog: Mutex::default(),
             targets: Mutex::default(),
             budgets: Mutex::default(),
+            patience: Mutex::default(),
+            pressed: Mutex::default(),
             table: Mutex::default(),
             roster: Mutex::new(Roster::new(seeds)),
             hosts: Mutex::new(Peak { count: 1, at: now }),
             pool: Mutex::default(),
             metrics: Metrics::default(),
             news: Notify::new(),
-            behind: watch::Sender::new(0),
+            ahead: watch::Sender::default(),
             asking: AtomicBool::new(false),
             leaving: watch::Sender::new(false),
             listed: AtomicBool::new(false),
@@ -148,6 +186,31 @@
         lock(&self.targets).least(model, bound, clock::now())
     }
 
+    /// Whether a caller has tried before: it waits for less than others of its route, since part of
+    /// its time is gone.
+    pub fn returned(&self, route: &Route, patience: Duration) -> bool {
+        let mut longest = lock(&self.patience);
+        let Some(known) = longest.get_mut(&route.name) else {
+            longest.insert(route.name.clone(), patience);
+            return false;
+        };
+        *known = patience.max(*known);
+        patience < *known * RETURNED_PERCENT / 100
+    }
+
+    /// Notes that a first try found no place at a service.
+    pub fn press(&self, service: &str) {
+        lock(&self.pressed).insert(service.into(), clock::now());
+    }
+
+    /// Whether first tries find no place at a service: who was sent away before yields to them, since
+    /// its answer is late already and theirs are not.
+    pub fn pressed(&self, service: &str) -> bool {
+        let pressed = lock(&self.pressed);
+        let since = pressed.get(service);
+        since.is_some_and(|at| clock::now().saturating_duration_since(*at) < PRESSED)
+    }
+
     /// Counts a request for a service.
     pub fn count_request(&self, service: &str) {
         let now = clock::now();
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -29,7 +29,7 @@
 /// Longest pause after failed calls.
 const BACKOFF_MAX: Duration = Duration::from_millis(1_000);
 /// Time that a read may lag behind a peer before its connection is given up.
-const LAG: Duration = Duration::from_millis(250);
+const LAG: Duration = Duration::from_millis(300);
 
 /// One topic being followed.
 struct Watch {
@@ -79,12 +79,17 @@
 
     /// Reads on until the history is lost.
     async fn follow(&mut self) {
-        let mut behind = self.site.behind.subscribe();
         loop {
             let from = mirror(&self.site, self.topic, |m| m.end()).unwrap_or(0);
+            // After a failure the first answer is wanted at once: it tells that the store is back.
+            let wait = if self.lost.is_some() {
+                Duration::ZERO
+            } else {
+                WAIT
+            };
             let read = tokio::select! {
-                read = self.client.read(self.topic, from, WAIT) => Some(read),
-                () = lagging(&mut behind) => None,
+                read = self.client.read(self.topic, from, wait) => Some(read),
+                () = lagging(&self.site, self.topic) => None,
             };
             match read {
                 Some(Ok(Read::Batch(batch))) => {
@@ -145,17 +150,27 @@
 
     /// Time until which an engine that lapsed during an outage may come back.
     fn grace(&self) -> Option<Instant> {
+        let now = clock::now();
         let until = self.regained? + LAPSE;
-        (clock::now() < until).then_some(until)
+        (now < until).then_some(until)
     }
 }
 
-/// Waits until a peer is ahead for longer than a read may take.
-async fn lagging(behind: &mut tokio::sync::watch::Receiver<u64>) {
-    if behind.changed().await.is_err() {
-        std::future::pending::<()>().await;
+/// Waits until a peer has been ahead in this topic for longer than a read may take.
+async fn lagging(site: &Site, topic: Topic) {
+    let mut ahead = site.ahead.subscribe();
+    loop {
+        let end = ahead.borrow_and_update().of(topic);
+        if mirror(site, topic, |m| m.end()).unwrap_or(0) < end {
+            time::sleep(LAG).await;
+            if mirror(site, topic, |m| m.end()).unwrap_or(0) < end {
+                return;
+            }
+        }
+        if ahead.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
     }
-    time::sleep(LAG).await;
 }
 
 fn name(topic: Topic) -> &'static str {
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -156,6 +156,17 @@
             .filter(move |(host, c)| c.role == role && self.health.usable(host))
     }
 
+    /// Place of this process, `me`, among the members of its role in the order of their names, and
+    /// how many they are.
+    pub fn place(&self, me: &str, role: Role) -> (usize, usize) {
+        let (mut before, mut others) = (0, 0);
+        for (host, _) in self.of(role) {
+            others += 1;
+            before += usize::from(**host < *me);
+        }
+        (before, others + 1)
+    }
+
     /// Members of a role that are heard from, or that others name and that were not heard yet.
     pub fn known(&self, role: Role) -> impl Iterator<Item = (&Box<str>, &Contact)> {
         self.contacts.iter().filter(move |(host, c)| {
