A newer version is waited for only when its pieces come; members meet sooner after a start

Cause: half of the engines left out version 2 for a version 3 whose origin was away; restarted entry hosts knew no agents for 0.5 s and each filled the engines.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -35,6 +35,10 @@
 /// the engines that load it spread the load of both versions over time.
 const WORTH_FINISHING: f64 = 0.6;
 
+/// Share of a newer version's pieces from which it counts as coming; an origin that is away sends
+/// none.
+const COMES: f64 = 0.3;
+
 /// State of the loop.
 pub struct Control {
     slot: Arc<Slot>,
@@ -190,7 +194,9 @@
             .as_ref()
             .is_some_and(|(of, task)| *of == want.version && !task.is_finished());
         let held = fetching || lock(&self.slot.pieces).complete(want.version);
-        serves >= want.version || !held || self.turn(want, serves, |turn| turn.skips(newest))
+        let comes = lock(&self.slot.pieces).share(newest.version) >= COMES;
+        let skips = || self.turn(want, serves, |turn| turn.skips(newest));
+        serves >= want.version || !held || comes && skips()
     }
 
     /// Asks for the turn at loading a version.
--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -88,7 +88,9 @@
             Ok(Some(manifest)) => return (weights, Arc::new(manifest)),
             Ok(None) => {}
             Err(cause) => {
-                event!(Warn, "manifest_failed", version = version, reason = cause);
+                if turn == 0 {
+                    event!(Warn, "manifest_failed", version = version, reason = cause);
+                }
                 slot.metrics.fetch_failed.inc();
             }
         }
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -11,7 +11,7 @@
     },
     jayspread_net::{
         clock, event,
-        members::{self, BEAT},
+        members::{self, ASK_ALONE, BEAT},
     },
     jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
     std::{
@@ -150,7 +150,8 @@
 pub async fn beats(site: Arc<Site>) {
     loop {
         tick(&site);
-        let next = Instant::now() + BEAT;
+        let alone = lock(&site.roster).alone();
+        let next = Instant::now() + if alone { ASK_ALONE } else { BEAT };
         tokio::select! {
             () = time::sleep_until(next) => {}
             () = site.news.notified() => {}
--- a/crates/entry/src/front/site.rs
+++ b/crates/entry/src/front/site.rs
@@ -38,6 +38,11 @@
 /// before they begin.
 const VERSION_MARGIN: Duration = Duration::from_millis(1_400);
 
+/// Time after the start in which other hosts may not have been heard yet.
+const ACQUAINTANCE: Duration = Duration::from_millis(1_500);
+/// Entry hosts assumed in that time, so that hosts that start together do not each fill the engines.
+const HOSTS_UNKNOWN: usize = 9;
+
 /// Share of the longest patience on a route below which a caller has tried before, percent; callers
 /// differ by less than that among themselves.
 const RETURNED_PERCENT: u32 = 85;
@@ -106,6 +111,7 @@
     /// Other processes.
     pub roster: Mutex<Roster>,
     hosts: Mutex<Peak>,
+    started: Instant,
     /// Idle connections to engines.
     pub pool: Mutex<Pool>,
     /// Metrics.
@@ -143,6 +149,7 @@
             table: Mutex::default(),
             roster: Mutex::new(Roster::new(seeds)),
             hosts: Mutex::new(Peak { count: 1, at: now }),
+            started: now,
             pool: Mutex::default(),
             metrics: Metrics::default(),
             news: Notify::new(),
@@ -171,6 +178,8 @@
         let live = lock(&self.roster).of(Role::Entry).count() + 1;
         let now = clock::now();
         let mut peak = lock(&self.hosts);
+        let young = now.saturating_duration_since(self.started) < ACQUAINTANCE;
+        let live = if young { live.max(HOSTS_UNKNOWN) } else { live };
         if live >= peak.count || now.saturating_duration_since(peak.at) > HOSTS_MEMORY {
             *peak = Peak {
                 count: live,
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -16,7 +16,7 @@
 /// Interval of asking a member for its list.
 const ASK: Duration = Duration::from_millis(2_000);
 /// Interval of asking while no other member is known.
-const ASK_ALONE: Duration = Duration::from_millis(300);
+pub const ASK_ALONE: Duration = Duration::from_millis(120);
 
 /// A member that is heard from.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -131,9 +131,14 @@
             .retain(|_, c| c.heard || now.saturating_duration_since(c.named) < ASK * 3);
     }
 
+    /// Whether no other member was heard yet.
+    pub fn alone(&self) -> bool {
+        !self.contacts.values().any(|c| c.heard)
+    }
+
     /// Whom to ask for the list of members now, if anyone.
     pub fn ask(&mut self, me: Ipv4Addr, now: Instant) -> Vec<Ipv4Addr> {
-        let alone = !self.contacts.values().any(|c| c.heard);
+        let alone = self.alone();
         let pause = if alone { ASK_ALONE } else { ASK };
         if self.asked.is_some_and(|at| now < at + pause) {
             return Vec::new();
