--- /dev/null
+++ b/crates/core/tests/spread.rs
@@ -0,0 +1,263 @@
+//! Pieces of a version spread over a fleet of hosts with slow links, without sockets.
+
+use {
+    jayspread_core::{
+        bundle::Piece,
+        chunk::{Peer, Plan, Policy, Source, Step},
+        id::Host,
+        spread::{Holder, Spread},
+    },
+    proptest::prelude::*,
+    rand::{SeedableRng, rngs::StdRng},
+    rstest::rstest,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+const PIECES: usize = 48;
+/// Time of one transfer over a host's link, steps of the model.
+const TRANSFER: u64 = 5;
+/// Time of one step.
+const STEP: Duration = Duration::from_millis(10);
+/// Transfers that the origin's link carries at once.
+const ORIGIN_LINK: usize = 2;
+
+fn peers(count: usize) -> BTreeSet<Peer> {
+    let peer = |number: usize| Peer {
+        host: format!("host-{number}").into(),
+        data_centre: format!("r{}-a", number % 3).into(),
+        region: format!("r{}", number % 3).into(),
+    };
+    (0..count).map(peer).collect()
+}
+
+fn pieces() -> Vec<Piece> {
+    let piece = |index: usize| {
+        let mut hash = [0; 32];
+        hash[0] = index as u8;
+        hash[31] = index.wrapping_mul(37) as u8;
+        Piece {
+            artifact: "m".into(),
+            offset: index as u64,
+            length: 1,
+            hash,
+        }
+    };
+    (0..PIECES).map(piece).collect()
+}
+
+fn steps(me: &Peer, peers: &BTreeSet<Peer>) -> Vec<Step> {
+    let pieces = pieces();
+    let plan = Plan::new(Policy::Once, me, peers, &pieces, "r0").steps;
+    let find = |piece: &Piece| {
+        let step = plan.iter().find(|step| step.hash == piece.hash);
+        step.expect("each piece has a step").clone()
+    };
+    pieces.iter().map(find).collect()
+}
+
+struct Fleet {
+    peers: BTreeMap<Host, Peer>,
+    spreads: BTreeMap<Host, Spread>,
+    holders: BTreeMap<Host, Holder>,
+    /// Transfers under way: who, index, source, end.
+    moving: Vec<(Host, usize, Source, u64)>,
+    from_origin: usize,
+    dead: BTreeSet<Host>,
+    origin_up: bool,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let peers = peers(count);
+        let mut fleet = Self {
+            peers: BTreeMap::new(),
+            spreads: BTreeMap::new(),
+            holders: BTreeMap::new(),
+            moving: Vec::new(),
+            from_origin: 0,
+            dead: BTreeSet::new(),
+            origin_up: true,
+        };
+        for (number, peer) in peers.iter().enumerate() {
+            let steps = steps(peer, &peers);
+            let patience = number as f64 / count as f64;
+            let spread = Spread::new(&peer.data_centre, &peer.region, &steps, patience);
+            let holder = Holder {
+                data_centre: peer.data_centre.clone(),
+                region: peer.region.clone(),
+                pieces: BTreeSet::new(),
+            };
+            fleet.spreads.insert(peer.host.clone(), spread);
+            fleet.holders.insert(peer.host.clone(), holder);
+            fleet.peers.insert(peer.host.clone(), peer.clone());
+        }
+        fleet
+    }
+
+    fn done(&self) -> bool {
+        let live = self.spreads.iter().filter(|(h, _)| !self.dead.contains(*h));
+        live.map(|(_, spread)| spread).all(Spread::complete)
+    }
+
+    fn step(&mut self, now: u64, rng: &mut StdRng) {
+        let ended: Vec<_> = self.moving.extract_if(.., |m| m.3 <= now).collect();
+        for (host, index, source, _) in ended {
+            let spread = self.spreads.get_mut(&host).expect("known");
+            spread.end(index);
+            let alive = match &source {
+                Source::Origin => self.origin_up,
+                Source::Peer(peer) => !self.dead.contains(peer),
+            };
+            if alive {
+                spread.hold(index);
+                self.holders
+                    .get_mut(&host)
+                    .expect("known")
+                    .pieces
+                    .insert(index);
+            }
+        }
+        let elapsed = STEP * now as u32;
+        let hosts: Vec<Host> = self.spreads.keys().cloned().collect();
+        for host in hosts {
+            if self.dead.contains(&host) {
+                continue;
+            }
+            let visible: BTreeMap<Host, Holder> = self
+                .holders
+                .iter()
+                .filter(|(h, _)| **h != host && !self.dead.contains(*h))
+                .map(|(h, holder)| (h.clone(), holder.clone()))
+                .collect();
+            let spread = self.spreads.get_mut(&host).expect("known");
+            while let Some(ask) = spread.next(&visible, elapsed, rng) {
+                let sharing = self.moving.iter().filter(|m| m.2 == ask.source).count();
+                let link = if ask.source == Source::Origin {
+                    self.from_origin += 1;
+                    1 + sharing / ORIGIN_LINK
+                } else {
+                    1 + sharing
+                };
+                let end = now + TRANSFER * link as u64;
+                self.moving.push((host.clone(), ask.index, ask.source, end));
+            }
+        }
+    }
+
+    fn run(&mut self, limit: u64, seed: u64) -> Option<u64> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        for now in 0..limit {
+            self.step(now, &mut rng);
+            if self.done() {
+                return Some(now);
+            }
+        }
+        None
+    }
+}
+
+#[rstest]
+#[case(12)]
+#[case(20)]
+#[case(45)]
+fn every_piece_leaves_the_origin_about_once(#[case] hosts: usize) {
+    let mut fleet = Fleet::new(hosts);
+    let took = fleet.run(2_000, 1).expect("complete");
+    assert!(
+        fleet.from_origin <= PIECES * 2,
+        "{} pieces",
+        fleet.from_origin
+    );
+    // One copy over one link takes PIECES * TRANSFER steps.
+    assert!(took <= 2 * PIECES as u64 * TRANSFER, "{took} steps");
+}
+
+#[test]
+fn goes_on_without_hosts_that_die_in_the_middle() {
+    let mut fleet = Fleet::new(20);
+    let mut rng = StdRng::seed_from_u64(2);
+    for now in 0..60 {
+        fleet.step(now, &mut rng);
+    }
+    fleet.dead = ["host-0", "host-3", "host-4", "host-8"]
+        .iter()
+        .map(|h| Host::from(*h))
+        .collect();
+    for now in 60..3_000 {
+        fleet.step(now, &mut rng);
+    }
+    assert!(fleet.done());
+}
+
+#[test]
+fn waits_for_an_origin_that_is_away() {
+    let mut fleet = Fleet::new(9);
+    fleet.origin_up = false;
+    let mut rng = StdRng::seed_from_u64(3);
+    for now in 0..400 {
+        fleet.step(now, &mut rng);
+    }
+    assert!(!fleet.done());
+    fleet.origin_up = true;
+    for now in 400..3_000 {
+        fleet.step(now, &mut rng);
+    }
+    assert!(fleet.done());
+}
+
+/// An empty engine joins a fleet that serves the version: it takes nothing from the origin.
+#[test]
+fn a_newcomer_takes_its_pieces_near() {
+    let peers = peers(7);
+    let me = peers.iter().next().expect("has peers").clone();
+    let steps = steps(&me, &peers);
+    let mut spread = Spread::new(&me.data_centre, &me.region, &steps, 0.5);
+    let holders: BTreeMap<Host, Holder> = peers
+        .iter()
+        .filter(|peer| peer.host != me.host)
+        .map(|peer| {
+            let holder = Holder {
+                data_centre: peer.data_centre.clone(),
+                region: peer.region.clone(),
+                pieces: (0..PIECES).collect(),
+            };
+            (peer.host.clone(), holder)
+        })
+        .collect();
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut asked = 0;
+    while !spread.complete() {
+        let ask = spread
+            .next(&holders, Duration::ZERO, &mut rng)
+            .expect("all pieces are near");
+        assert_ne!(ask.source, Source::Origin);
+        spread.end(ask.index);
+        spread.hold(ask.index);
+        asked += 1;
+    }
+    assert_eq!(asked, PIECES);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+    #[test]
+    fn whatever_dies_the_others_complete(
+        seed in any::<u64>(),
+        dead in proptest::collection::btree_set(0_usize..15, 0..6),
+        at in 0_u64..300,
+    ) {
+        let mut fleet = Fleet::new(15);
+        let mut rng = StdRng::seed_from_u64(seed);
+        for now in 0..at {
+            fleet.step(now, &mut rng);
+        }
+        fleet.dead = dead.iter().map(|n| Host::from(format!("host-{n}"))).collect();
+        for now in at..4_000 {
+            fleet.step(now, &mut rng);
+        }
+        prop_assert!(fleet.done());
+    }
+}
