--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -365,6 +365,8 @@
         .expect("b has slots");
     assert_eq!(&*choice.ticket.id, "b");
     f.hear(2, report(SLOTS, 1, ALONE));
+    let (route, backend) = (f.route.clone(), f.backend.clone());
+    let mut need = self::need(&route, &backend);
     need.prompt = 20_000;
     assert!(f.table.choose(&need, &mut f.rng, f.now).is_err());
 }
--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -164,8 +164,15 @@
         self.framing = Framing::Idle;
     }
 
-    /// Reads the head of the next answer while the request goes out.
+    /// Reads the head of the next answer while the request goes out. After an error the connection
+    /// is not clean any more.
     pub async fn head(&mut self) -> Result<Head, Error> {
+        let read = self.read_head().await;
+        self.closing |= read.is_err();
+        read
+    }
+
+    async fn read_head(&mut self) -> Result<Head, Error> {
         loop {
             if let Some(head) = self.parse_head()? {
                 if !head.status.is_informational() {
