Intake by what an engine reads in one pass, near hosts first, short answers before a load

Cause: an engine that came back empty got up to 15 requests within 0.3 s; it reads all their prompts in one pass, so that each was late and running streams paused over 0.3 s. Ruled out: the order's notice (no send after it).

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -29,6 +29,9 @@
 const SETTLE: Duration = Duration::from_millis(700);
 /// Time before an order in which entry hosts learn that the engine takes no new work.
 const NOTICE: Duration = Duration::from_millis(100);
+/// Time before a planned order from which entry hosts learn of it, and send only requests that end
+/// before it; about as long as most answers take.
+const FORESIGHT: Duration = Duration::from_millis(2_500);
 /// Reads in a row that fail before the engine counts as silent.
 const FAILURES: u32 = 2;
 /// Share of a version's pieces from which its fetch is finished although a newer one is named:
@@ -120,6 +123,7 @@
             );
             self.slot.news.notify_one();
             self.served(version);
+            lock(&self.slot.pieces).loaded(version);
         }
         let serving = (version > 0).then(|| version.to_string().into());
         let report = Report {
@@ -264,7 +268,10 @@
             self.handle(&Event::Complete(want.version.to_string().into()));
         }
         let due = self.turn(want, serves, |turn| turn.due());
-        let granted = clock::now() >= due;
+        let now = clock::now();
+        let granted = now >= due;
+        let planned = serves > 0 && !granted && due < now + FORESIGHT;
+        lock(&self.slot.seen).closes = planned.then_some(due);
         self.handle(&Event::Grant(granted));
     }
 
@@ -356,7 +363,10 @@
 
     fn close(&mut self, closed: bool) {
         self.closed = closed.then(clock::now);
-        lock(&self.slot.seen).closed = closed;
+        let mut seen = lock(&self.slot.seen);
+        seen.closed = closed;
+        seen.closes = None;
+        drop(seen);
         self.slot.news.notify_one();
     }
 
--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -108,7 +108,7 @@
 ) -> Result<Option<Manifest>, Box<str>> {
     let agents = slot.agents();
     if let Some(origin) = weights.origin
-        && (turn % 2 == 0 || agents.is_empty())
+        && (turn.is_multiple_of(2) || agents.is_empty())
     {
         let mut client = origin::Client::new(origin);
         let manifest = client.manifest(&weights.model, version).await;
--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -22,6 +22,8 @@
 
 /// Shortest time between two reports on a load that changes.
 const REPORT: Duration = Duration::from_millis(60);
+/// The same to entry hosts of other regions, which send here only what their own cannot take.
+const REPORT_FAR: Duration = Duration::from_millis(170);
 /// Pause after a failed receive, so that a broken socket does not spin.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -150,6 +152,10 @@
         closed: seen.closed,
         ..Engine::default()
     };
+    if let Some(at) = seen.closes {
+        let left = at.saturating_duration_since(clock::now()).as_millis() as u64;
+        engine.closes_in_ms = left.max(1);
+    }
     if let Some(state) = seen.state {
         engine.born_ms = state.born_ms;
         engine.running = state.load.running;
@@ -167,26 +173,63 @@
     engine
 }
 
+/// Reports that go to one group of hosts.
+#[derive(Default)]
+struct Reports {
+    last: Option<(Engine, Instant)>,
+    round: u64,
+}
+
+impl Reports {
+    /// The report that is due: the state has changed, at most every `interval`, or a beat is due.
+    fn due(&mut self, engine: &Engine, interval: Duration, now: Instant) -> Option<Engine> {
+        if let Some((sent, at)) = &self.last {
+            let age = now.saturating_duration_since(*at);
+            let turned = (sent.version, sent.answers, sent.closed)
+                != (engine.version, engine.answers, engine.closed);
+            let changed = *sent != *engine && age >= interval;
+            if !turned && !changed && age < BEAT {
+                return None;
+            }
+        }
+        self.last = Some((engine.clone(), now));
+        self.round += 1;
+        Some(Engine {
+            round: self.round,
+            ..engine.clone()
+        })
+    }
+}
+
 /// Reports the engine's state and ages the roster until the task is aborted.
 pub async fn reports(slot: Arc<Slot>) {
-    let mut last: Option<(Engine, Instant)> = None;
+    let (mut near, mut far, mut agents) =
+        (Reports::default(), Reports::default(), Reports::default());
     let mut beat: Option<Instant> = None;
     loop {
         let now = clock::now();
         let engine = state(&slot);
-        let due = last
-            .as_ref()
-            .is_none_or(|(sent, at)| *sent != engine || now >= *at + BEAT);
-        let beats = beat.is_none_or(|at| now >= at + BEAT);
-        let turned = last.as_ref().is_some_and(|(sent, _)| {
-            (sent.version, sent.answers, &sent.spreads)
-                != (engine.version, engine.answers, &engine.spreads)
-        });
-        if due || beats {
-            report(&slot, &engine, beats || turned);
-            last = Some((engine, now));
+        let load = Engine {
+            spreads: Vec::new(),
+            ..engine.clone()
+        };
+        if let Some(report) = near.due(&load, REPORT, now) {
+            send(&slot, Role::Entry, report, |own| own);
+        }
+        if let Some(report) = far.due(&load, REPORT_FAR, now) {
+            send(&slot, Role::Entry, report, |own| !own);
         }
-        if beats {
+        let holds = Engine {
+            running: 0,
+            waiting: 0,
+            memory_taken: 0,
+            closes_in_ms: 0,
+            ..engine
+        };
+        if let Some(report) = agents.due(&holds, REPORT, now) {
+            send(&slot, Role::Agent, report, |_| true);
+        }
+        if beat.is_none_or(|at| now >= at + BEAT) {
             beat = Some(now);
             let mut roster = lock(&slot.roster);
             roster.tick(now);
@@ -199,16 +242,14 @@
     }
 }
 
-/// Sends a report to all entry hosts, and to the other agents where they should know.
-fn report(slot: &Slot, engine: &Engine, agents: bool) {
+/// Sends a report to the processes of a role in data centres of the own region or of others.
+fn send(slot: &Slot, role: Role, report: Engine, group: impl Fn(bool) -> bool) {
     let me = slot.socket.identity.address;
-    let roster = lock(&slot.roster);
-    let mut to = roster.addresses(Role::Entry, me);
-    if agents {
-        to.extend(roster.addresses(Role::Agent, me));
-    }
-    drop(roster);
-    let packet = slot.socket.encode(Body::Engine(engine.clone()));
+    let region = slot.region(&slot.settings.data_centre);
+    let to = lock(&slot.roster).addresses_in(role, me, |data_centre| {
+        group(*slot.region(data_centre) == *region)
+    });
+    let packet = slot.socket.encode(Body::Engine(report));
     for address in to {
         members::send(&slot.socket, &packet, address);
     }
--- a/crates/agent/src/slot/pieces.rs
+++ b/crates/agent/src/slot/pieces.rs
@@ -99,21 +99,16 @@
         held.is_some_and(|held| held.pieces.iter().all(Option::is_some))
     }
 
-    /// Gives back the memory of a version whose pieces the engine has staged.
-    pub fn release(&mut self, version: u64) {
+    /// Notes that the engine serves a version: its pieces are staged there, and the memory for them
+    /// and for older ones is given back.
+    pub fn loaded(&mut self, version: u64) {
+        self.versions.retain(|held, _| *held >= version);
         if let Some(held) = self.versions.get_mut(&version) {
             held.pieces.iter_mut().for_each(|piece| *piece = None);
             held.released = true;
         }
     }
 
-    /// Whether the engine's staging area is the place to look for a version.
-    pub fn released(&self, version: u64) -> bool {
-        self.versions
-            .get(&version)
-            .is_some_and(|held| held.released)
-    }
-
     /// Takes a version up again whose staged pieces were lost.
     pub fn reclaim(&mut self, version: u64) {
         if let Some(held) = self.versions.get_mut(&version) {
--- a/crates/agent/src/slot/serve.rs
+++ b/crates/agent/src/slot/serve.rs
@@ -15,7 +15,7 @@
     hex::ToHex,
     jayspread_core::id::ChunkHash,
     jayspread_net::{
-        channel::{Client, Request},
+        client::{Client, Request},
         event,
     },
     jayspread_platform::{engine, origin::Manifest},
--- a/crates/agent/src/slot/tables.rs
+++ b/crates/agent/src/slot/tables.rs
@@ -60,6 +60,8 @@
     pub answers: bool,
     /// The agent is about to order a load, or has.
     pub closed: bool,
+    /// Time at which the agent plans to order a load.
+    pub closes: Option<Instant>,
 }
 
 impl Seen {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -18,6 +18,15 @@
 const REPORT_STALE: Duration = Duration::from_millis(1_500);
 /// Age up to which the credit that a report gives may be spent.
 const CREDIT_FRESH: Duration = Duration::from_millis(300);
+/// Free places of an engine that entry hosts of other regions leave to those of its own.
+const FAR_RESERVE: u32 = 4;
+/// Time for which a request may run on behind the planned order of a load.
+const OVERTIME: Duration = Duration::from_millis(250);
+/// Time that an engine may read prompts in one pass. What runs there gets no event meanwhile, and
+/// who comes in the middle waits for the end of the pass.
+const READING_MAX: Duration = Duration::from_millis(130);
+/// Requests of the intake that hosts of other regions leave to those of the engine's own.
+const FAR_INTAKE: u32 = 2;
 /// Requests that may wait at an engine for a slot, so that none stays empty between two reports.
 const AHEAD: u32 = 2;
 /// Window of the bound on requests to a cold engine.
@@ -84,20 +93,37 @@
     pub place: u32,
     /// Entry hosts.
     pub of: u32,
+    /// Places that they leave to others.
+    reserve: u32,
 }
 
 impl Turn {
-    /// Place of the host at `index` for the report with that sequence number.
-    pub fn new(index: usize, of: usize, sequence: u64) -> Self {
+    /// Place of the host at `index` in that round of reports, among hosts of the engine's region.
+    pub fn new(index: usize, of: usize, round: u64) -> Self {
         let of = of.max(1) as u64;
         Self {
-            place: ((index as u64 + sequence) % of) as u32,
+            place: ((index as u64 + round) % of) as u32,
             of: of as u32,
+            reserve: 0,
         }
     }
 
-    /// This host's part of `count` free places.
-    fn share(self, count: u32) -> u32 {
+    /// The same among hosts of other regions, which get what those of the engine's own leave.
+    pub fn far(index: usize, of: usize, round: u64) -> Self {
+        Self {
+            reserve: FAR_RESERVE,
+            ..Self::new(index, of, round)
+        }
+    }
+
+    /// This host's part of the free places, of which an engine takes so many at once.
+    fn share(self, free: u32, intake: u32) -> u32 {
+        let count = if self.reserve == 0 {
+            free.min(intake)
+        } else {
+            let intake = intake.saturating_sub(FAR_INTAKE);
+            free.saturating_sub(self.reserve).min(intake)
+        };
         count / self.of + u32::from(self.place < count % self.of)
     }
 }
@@ -115,6 +141,17 @@
     pub version: Option<u64>,
     /// It takes no new work for now.
     pub closed: bool,
+    /// Time at which its agent plans to order a load.
+    pub closes: Option<Instant>,
+    /// Requests that the engine can begin in one pass.
+    pub intake: u32,
+}
+
+/// Requests whose prompts an engine of this speed reads in one pass without holding up others.
+pub fn intake(speed: &Speed) -> u32 {
+    let tokens = READING_MAX.as_secs_f64() * speed.read_rate;
+    let count = tokens / f64::from(speed.usual_prompt.max(1));
+    (count as u32).clamp(1, speed.slots.max(1))
 }
 
 /// A load and what this host had in flight when it was seen.
@@ -174,7 +211,8 @@
     pub fn hear(&mut self, report: Report, now: Instant) {
         let occupied = report.load.running + report.load.waiting;
         let free = (self.listing.slots + AHEAD).saturating_sub(occupied);
-        self.credit = report.turn.share(free);
+        let intake = report.intake.saturating_sub(report.load.waiting);
+        self.credit = report.turn.share(free, intake);
         self.see(report.load, now);
         self.report = Some((now, report));
     }
@@ -260,6 +298,13 @@
         self.report.as_ref().is_some_and(shut)
     }
 
+    /// Whether a request that begins after `expected` and runs for `duration` would hold up a load
+    /// that is planned.
+    pub fn outlasts(&self, expected: Duration, duration: Duration, now: Instant) -> bool {
+        let closes = self.report.as_ref().and_then(|(_, report)| report.closes);
+        closes.is_some_and(|at| now + expected + duration > at + OVERTIME)
+    }
+
     /// Requests running and waiting there now; `hosts` send to it about equally.
     pub fn occupancy(&self, hosts: usize, now: Instant) -> u32 {
         let blind = self.own * hosts.max(1) as u32;
@@ -326,6 +371,11 @@
 
 /// Time that a usual request occupies a slot at full load, seconds.
 fn lifetime(speed: &Speed) -> f64 {
-    let passes = (f64::from(speed.usual_answer) / f64::from(speed.steps.max(1))).max(1.0);
-    passes * pass(speed, speed.slots) / (1.0 - READING_SHARE)
+    writing(speed, speed.usual_answer).as_secs_f64()
+}
+
+/// Time that an answer of so many tokens takes at full load.
+pub fn writing(speed: &Speed, answer: u32) -> Duration {
+    let passes = (f64::from(answer) / f64::from(speed.steps.max(1))).max(1.0);
+    Duration::from_secs_f64(passes * pass(speed, speed.slots) / (1.0 - READING_SHARE))
 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -7,8 +7,8 @@
 use {
     crate::{
         catalog::{self, Backend, Route},
-        engine::{Engine, Listing, Load, Report},
-        id::{DataCentre, Engine as Id, Region},
+        engine::{self, Engine, Listing, Load, Report},
+        id::{DataCentre, Engine as Id, Region, Service},
         trust::Verdict,
     },
     rand::Rng,
@@ -45,6 +45,8 @@
     pub regions: &'a [Region],
     /// Prompt tokens.
     pub prompt: u32,
+    /// Expected answer, tokens; nothing where the caller does not say.
+    pub answer: Option<u32>,
     /// Time left until the answer is late.
     pub left: Duration,
     /// Oldest version that may begin work.
@@ -216,6 +218,12 @@
         true
     }
 
+    /// Service of the engine that is listed at an address.
+    pub fn service(&self, address: SocketAddr) -> Option<&Service> {
+        let id = self.by_address.get(&address)?;
+        self.slots.get(id).map(|slot| &slot.engine.listing.service)
+    }
+
     fn at(&mut self, address: SocketAddr) -> Option<&mut Slot> {
         let id = self.by_address.get(&address)?;
         self.slots.get_mut(id)
@@ -321,8 +329,9 @@
         choice
     }
 
-    /// Draws among the engines that answer in time, those of the own region before others, by the
-    /// square of the time to spare; failing these, the soonest of those with free slots.
+    /// Draws among the engines that answer in time, by the square of the time to spare: those of the
+    /// own region first, then others, then those whose planned load the request would hold up.
+    /// Failing all these, the soonest of those with free slots.
     fn in_time(
         &self,
         suitable: &[Id],
@@ -331,8 +340,11 @@
         now: Instant,
     ) -> Option<Id> {
         let speed = need.backend.speed.as_ref()?;
+        let answer = need.answer.unwrap_or(speed.usual_answer);
+        let duration = engine::writing(speed, answer);
         let mut near = Vec::new();
         let mut far = Vec::new();
+        let mut closing = Vec::new();
         let mut soonest: Option<(Duration, &Id)> = None;
         for id in suitable {
             let engine = &self.slots[id].engine;
@@ -341,7 +353,9 @@
             }
             let expected = engine.first_event(speed, need.prompt, need.hosts, now) + RELAY;
             let spare = need.left.saturating_sub(expected).as_secs_f64();
-            if *engine.listing.region == *need.region {
+            if engine.outlasts(expected, duration, now) {
+                closing.push((id, spare * spare));
+            } else if *engine.listing.region == *need.region {
                 near.push((id, spare * spare));
             } else {
                 far.push((id, spare * spare));
@@ -354,6 +368,7 @@
         }
         draw(&near, rng)
             .or_else(|| draw(&far, rng))
+            .or_else(|| draw(&closing, rng))
             .or_else(|| soonest.map(|(_, id)| id))
             .cloned()
     }
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -107,9 +107,9 @@
             return None;
         }
         let ask = self
-            .from_origin(holders)
-            .or_else(|| self.from_afar(holders, Duration::ZERO, rng))
-            .or_else(|| self.from_near(holders, rng))
+            .at_origin(holders)
+            .or_else(|| self.afar(holders, Duration::ZERO, rng))
+            .or_else(|| self.nearby(holders, rng))
             .or_else(|| self.overdue(holders, elapsed, rng))?;
         let before = self.asked.insert(ask.index, ask.source.clone());
         assert!(before.is_none(), "a piece is asked for once at a time");
@@ -140,7 +140,7 @@
         asked.filter(|s| **s == Source::Origin).count() < FROM_ORIGIN
     }
 
-    fn from_origin(&self, holders: &BTreeMap<Host, Holder>) -> Option<Ask> {
+    fn at_origin(&self, holders: &BTreeMap<Host, Holder>) -> Option<Ask> {
         if !self.origin_free() {
             return None;
         }
@@ -159,7 +159,7 @@
 
     /// A piece that this host brings into its region or data centre, from any host that holds it
     /// outside; after `TAKEOVER` any piece.
-    fn from_afar(
+    fn afar(
         &self,
         holders: &BTreeMap<Host, Holder>,
         elapsed: Duration,
@@ -185,7 +185,7 @@
     }
 
     /// The rarest piece that a host of the own data centre holds.
-    fn from_near(&self, holders: &BTreeMap<Host, Holder>, rng: &mut impl Rng) -> Option<Ask> {
+    fn nearby(&self, holders: &BTreeMap<Host, Holder>, rng: &mut impl Rng) -> Option<Ask> {
         let near: Vec<(&Host, &Holder)> = holders
             .iter()
             .filter(|(_, holder)| self.near(holder))
@@ -221,7 +221,7 @@
         elapsed: Duration,
         rng: &mut impl Rng,
     ) -> Option<Ask> {
-        if let Some(ask) = self.from_afar(holders, elapsed, rng) {
+        if let Some(ask) = self.afar(holders, elapsed, rng) {
             return Some(ask);
         }
         let due = elapsed >= LAST_RESORT + STAGGER.mul_f64(self.patience);
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -92,10 +92,15 @@
         },
         version: Some(1),
         closed: false,
+        closes: None,
+        intake: SLOTS,
     }
 }
 
-const ALONE: Turn = Turn { place: 0, of: 1 };
+/// Turn of the only entry host.
+fn alone() -> Turn {
+    Turn::new(0, 1, 0)
+}
 
 fn need<'a>(route: &'a Route, backend: &'a Backend) -> Need<'a> {
     Need {
@@ -104,6 +109,7 @@
         region: "r1",
         regions: &[],
         prompt: 500,
+        answer: None,
         left: route.objective,
         least_version: 0,
         avoid: &[],
@@ -126,7 +132,7 @@
         for (number, (id, region)) in engines.iter().enumerate() {
             table.list(listing(id, number as u8 + 1, region), now);
             let address = SocketAddr::from(([127, 0, 0, number as u8 + 1], 80));
-            table.hear(address, 1, report(0, 0, ALONE), now);
+            table.hear(address, 1, report(0, 0, alone()), now);
         }
         Self {
             table,
@@ -208,7 +214,7 @@
         2,
         Report {
             version: Some(2),
-            ..report(0, 0, ALONE)
+            ..report(0, 0, alone())
         },
     );
     for _ in 0..10 {
@@ -238,7 +244,7 @@
         1,
         Report {
             closed: true,
-            ..report(0, 0, ALONE)
+            ..report(0, 0, alone())
         },
     );
     assert!(matches!(f.choose(), Err(Refusal::NoEngine(_))));
@@ -258,7 +264,7 @@
     f.table.unlist("a", Some(f.now + LAPSE));
     f.table.list(listing("a", 1, "r1"), f.now);
     f.now += LAPSE;
-    f.hear(1, report(0, 0, ALONE));
+    f.hear(1, report(0, 0, alone()));
     assert_eq!(f.choose().as_deref(), Ok("a"));
 }
 
@@ -342,8 +348,8 @@
 #[test]
 fn a_burst_on_a_full_fleet_is_refused() {
     let mut f = Fixture::new(&[("a", "r1"), ("b", "r1")]);
-    f.hear(1, report(SLOTS, 6, ALONE));
-    f.hear(2, report(SLOTS, 8, ALONE));
+    f.hear(1, report(SLOTS, 6, alone()));
+    f.hear(2, report(SLOTS, 8, alone()));
     let Err(Refusal::Busy(delay)) = f.choose() else {
         panic!("no place is free");
     };
@@ -355,8 +361,8 @@
 #[test]
 fn a_prompt_too_long_for_its_objective_is_served_where_slots_are_free() {
     let mut f = Fixture::new(&[("a", "r1"), ("b", "r1")]);
-    f.hear(1, report(SLOTS, 1, ALONE));
-    f.hear(2, report(4, 0, ALONE));
+    f.hear(1, report(SLOTS, 1, alone()));
+    f.hear(2, report(4, 0, alone()));
     let mut need = need(&f.route, &f.backend);
     need.prompt = 20_000;
     let choice = f
@@ -364,7 +370,7 @@
         .choose(&need, &mut f.rng, f.now)
         .expect("b has slots");
     assert_eq!(&*choice.ticket.id, "b");
-    f.hear(2, report(SLOTS, 1, ALONE));
+    f.hear(2, report(SLOTS, 1, alone()));
     let (route, backend) = (f.route.clone(), f.backend.clone());
     let mut need = self::need(&route, &backend);
     need.prompt = 20_000;
@@ -376,7 +382,7 @@
 #[rstest]
 #[case::one_slot_free(15, 3)]
 #[case::four_slots_free(12, 6)]
-#[case::empty(0, 18)]
+#[case::empty(0, 16)]
 fn a_herd_of_hosts_does_not_overrun_one_engine(#[case] running: u32, #[case] most: usize) {
     let hosts = 9;
     let begin = Instant::now();
@@ -449,7 +455,7 @@
     for _ in 0..5 {
         assert_eq!(f.choose().as_deref(), Ok("a"));
     }
-    f.hear(1, report(SLOTS, 6, ALONE));
+    f.hear(1, report(SLOTS, 6, alone()));
     assert_eq!(f.choose().as_deref(), Ok("b"));
 }
 
@@ -483,9 +489,58 @@
         };
         f.table.end(&choice.ticket, Some(verdict), f.now);
     }
-    f.hear(1, report(0, 0, ALONE));
-    f.hear(2, report(0, 0, ALONE));
+    f.hear(1, report(0, 0, alone()));
+    f.hear(2, report(0, 0, alone()));
     for _ in 0..10 {
         assert_eq!(f.choose().as_deref(), Ok("b"));
     }
 }
+
+/// Pattern: a load that is planned. Long answers go to other engines, short ones still come.
+#[test]
+fn long_answers_do_not_hold_up_a_planned_load() {
+    let mut f = Fixture::new(&[("a", "r1"), ("b", "r2")]);
+    f.hear(
+        1,
+        Report {
+            closes: Some(f.now + Duration::from_millis(1_200)),
+            ..report(2, 0, alone())
+        },
+    );
+    let mut chosen = |answer| {
+        let mut need = need(&f.route, &f.backend);
+        need.answer = Some(answer);
+        let choice = f.table.choose(&need, &mut f.rng, f.now).expect("room");
+        choice.ticket.id
+    };
+    assert_eq!(&*chosen(200), "b");
+    assert_eq!(&*chosen(12), "a");
+}
+
+/// Pattern: hosts of other regions. They leave the last free places to those of the engine's own.
+#[test]
+fn hosts_of_other_regions_leave_the_last_places() {
+    let mut f = Fixture::new(&[("a", "r2")]);
+    f.hear(1, report(SLOTS - 2, 0, Turn::far(0, 1, 0)));
+    assert!(f.choose().is_err());
+    f.hear(1, report(SLOTS - 8, 0, Turn::far(0, 1, 0)));
+    assert_eq!(f.choose().as_deref(), Ok("a"));
+}
+
+/// Pattern: an engine that comes back empty. It is filled over several passes, since reading all
+/// prompts in one would make each of them late.
+#[test]
+fn an_empty_engine_is_filled_in_steps() {
+    let mut f = Fixture::new(&[("a", "r1")]);
+    let count = |f: &mut Fixture| (0..20).filter(|_| f.choose().is_ok()).count();
+    let read_four = |running, waiting| Report {
+        intake: 4,
+        ..report(running, waiting, alone())
+    };
+    f.hear(1, read_four(0, 0));
+    assert_eq!(count(&mut f), 4);
+    f.hear(1, read_four(0, 4));
+    assert_eq!(count(&mut f), 0, "the first ones are still being read");
+    f.hear(1, read_four(4, 0));
+    assert_eq!(count(&mut f), 4);
+}
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -6,7 +6,7 @@
         shared::lock,
     },
     jayspread_core::{
-        engine::{Load, Report, Turn},
+        engine::{self, Load, Report, Turn},
         place::Table,
     },
     jayspread_net::{
@@ -60,7 +60,7 @@
         }
         Some(Body::Members(list)) => lock(&site.roster).named(&list, now),
         Some(Body::Entry(entry)) => peer(site, &entry, from),
-        Some(Body::Engine(engine)) => report(site, &engine, packet.sequence),
+        Some(Body::Engine(engine)) => report(site, &engine, &packet.data_centre),
         None => {}
     }
 }
@@ -88,14 +88,45 @@
     }
 }
 
-fn report(site: &Site, engine: &Engine, sequence: u64) {
-    let (index, of) = lock(&site.roster).place(&site.settings.host, Role::Entry);
+/// This host's turn at an engine in that data centre.
+fn turn(site: &Site, data_centre: &str, round: u64) -> Turn {
+    let regions = &site.settings.regions;
+    let region = |data_centre: &str| regions.get(data_centre).map(|r| &**r);
+    let there = region(data_centre);
+    let near = there == Some(&*site.region);
+    let roster = lock(&site.roster);
+    let group = |data_centre: &str| (region(data_centre) == there) == near;
+    let (index, of) = roster.place(&site.settings.host, Role::Entry, group);
+    let served = roster
+        .of(Role::Entry)
+        .any(|(_, contact)| region(&contact.data_centre) == there);
+    if near || !served {
+        Turn::new(index, of, round)
+    } else {
+        Turn::far(index, of, round)
+    }
+}
+
+/// Requests that the engine at an address can begin at once.
+fn intake(site: &Site, address: SocketAddr) -> u32 {
+    let Some(catalog) = site.catalog() else {
+        return 1;
+    };
+    let table = lock(&site.table);
+    let backend = table.service(address).and_then(|s| catalog.services.get(s));
+    let speed = backend.and_then(|backend| backend.speed.as_ref());
+    speed.map_or(1, engine::intake)
+}
+
+fn report(site: &Site, engine: &Engine, data_centre: &str) {
     let address = SocketAddr::new(
         IpAddr::V4(Ipv4Addr::from_bits(engine.address)),
         engine.port as u16,
     );
+    let now = clock::now();
+    let closes = Duration::from_millis(engine.closes_in_ms);
     let report = Report {
-        turn: Turn::new(index, of, sequence),
+        turn: turn(site, data_centre, engine.round),
         answers: engine.answers,
         load: Load {
             running: engine.running,
@@ -104,8 +135,10 @@
         },
         version: (engine.version > 0).then_some(engine.version),
         closed: engine.closed,
+        closes: (!closes.is_zero()).then(|| now + closes),
+        intake: intake(site, address),
     };
-    lock(&site.table).hear(address, engine.born_ms, report, clock::now());
+    lock(&site.table).hear(address, engine.born_ms, report, now);
 }
 
 /// What this host says about itself.
--- /dev/null
+++ b/crates/entry/src/front/job.rs
@@ -0,0 +1,363 @@
+//! One caller's request under way: where it stands, and each try at an engine.
+
+use {
+    crate::{
+        front::{
+            answer::Problem,
+            offer::{Miss, Offer, Place},
+            site::Site,
+            trace::Trace,
+        },
+        metrics,
+        shared::lock,
+    },
+    bytes::Bytes,
+    http::request::Parts,
+    jayspread_core::{
+        call::{Call, Event, Next},
+        catalog::{Backend, Catalog, Route, Tenant},
+        events,
+        id::Engine,
+        place::{Choice, Need, Refusal},
+    },
+    jayspread_net::clock,
+    jayspread_platform::header::{self as wire, Ask},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// Wait for an answer to an idempotent request, as a multiple of its objective, before another
+/// engine is tried.
+const PATIENCE: u32 = 2;
+/// Shortest such wait; below it, the delay of one lost packet would count as silence.
+const PATIENCE_MIN: Duration = Duration::from_millis(150);
+/// Delay suggested after an engine refused.
+const FULL: Duration = Duration::from_millis(150);
+/// Time left below which sending is of no use.
+const LEAST_LEFT: Duration = Duration::from_millis(5);
+/// Part of a route's objective for which a request waits for a place when all are taken; longer
+/// than that, the caller is better served by an early refusal.
+const HOLD: u32 = 8;
+/// Delay suggested to a caller who yields to first tries.
+const YIELD: Duration = Duration::from_millis(1_500);
+/// Pause between two looks for a place.
+const LOOK: Duration = Duration::from_millis(10);
+/// Share of the objective within which the answer to a caller who was sent away before must be
+/// expected: such an answer is late already, and must not make others late.
+const RETURNED_SHARE: f64 = 0.55;
+
+/// A request under way.
+pub struct Job {
+    /// Tables of the process.
+    pub site: Arc<Site>,
+    pub catalog: Arc<Catalog>,
+    /// Its route.
+    pub route: Arc<Route>,
+    pub tenant: Option<Arc<Tenant>>,
+    pub service: Box<str>,
+    pub parts: Parts,
+    pub body: Bytes,
+    /// What the caller says of it.
+    pub ask: Ask,
+    /// Time of its arrival.
+    pub arrived: Instant,
+    /// Time at which the caller gets a final answer at the latest.
+    pub deadline: Instant,
+    /// Where it stands.
+    pub call: Call,
+    pub avoid: Vec<Engine>,
+    /// Its caller was sent away before.
+    pub returned: bool,
+    /// What was decided on it.
+    pub trace: Option<Trace>,
+    pub closed: bool,
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        self.site.calls.fetch_sub(1, Ordering::AcqRel);
+        if !self.closed {
+            self.site.metrics.left.inc();
+            self.note(
+                "caller_left",
+                format_args!("after_ms={}", self.age().as_millis()),
+            );
+            self.close_trace(false);
+        }
+    }
+}
+
+impl Job {
+    /// Time since the request arrived.
+    pub fn age(&self) -> Duration {
+        clock::now().saturating_duration_since(self.arrived)
+    }
+
+    /// Time left until the final answer is due.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(clock::now())
+    }
+
+    /// Notes a decision.
+    pub fn note(&mut self, event: &str, values: std::fmt::Arguments<'_>) {
+        if let Some(trace) = &mut self.trace {
+            trace.note(event, values);
+        }
+    }
+
+    fn close_trace(&mut self, failed: bool) {
+        if let Some(trace) = self.trace.take() {
+            trace.close(failed);
+        }
+    }
+
+    /// Ends the request with an answer of an engine.
+    pub fn succeed(&mut self, event: &str, values: std::fmt::Arguments<'_>) {
+        self.call.handle(Event::Done);
+        self.site.metrics.whole.inc();
+        self.note(event, values);
+        self.closed = true;
+        self.close_trace(false);
+    }
+
+    /// Ends the request with a failure.
+    pub fn fail(&mut self, reason: &'static str) {
+        metrics::count(&self.site.metrics.failed, reason);
+        self.note(
+            "failed",
+            format_args!("reason={reason} after_ms={}", self.age().as_millis()),
+        );
+        self.closed = true;
+        self.close_trace(true);
+    }
+
+    /// Waits a little for a place when all are taken.
+    async fn place(&mut self) -> Result<Choice, Refusal> {
+        let first = !self.returned && self.call.sent() == 0;
+        if self.returned && self.route.kind.streams() && self.site.pressed(&self.service) {
+            return Err(Refusal::Busy(YIELD));
+        }
+        let hold = self.route.objective / HOLD;
+        loop {
+            match self.choose() {
+                Err(Refusal::Busy(_)) if first && self.age() + LOOK < hold => {
+                    time::sleep(LOOK).await;
+                }
+                chosen => {
+                    if first && matches!(chosen, Err(Refusal::Busy(_))) {
+                        self.site.press(&self.service);
+                    }
+                    return chosen;
+                }
+            }
+        }
+    }
+
+    /// Chooses an engine; the request has not run if that fails before the first send.
+    fn choose(&mut self) -> Result<Choice, Refusal> {
+        let hosts = self.site.hosts();
+        let backend = self.backend()?;
+        let model = backend.speed.as_ref().map(|speed| &speed.model);
+        let least_version = model.map_or(0, |model| self.site.least_version(model));
+        let need = Need {
+            route: &self.route,
+            backend,
+            region: &self.site.region,
+            regions: self.tenant.as_ref().map_or(&[], |t| &t.regions),
+            prompt: self.ask.prompt,
+            answer: self.ask.answer,
+            left: self.objective_left(),
+            least_version,
+            avoid: &self.avoid,
+            hosts,
+        };
+        let mut table = lock(&self.site.table);
+        table.choose(&need, &mut rand::rng(), clock::now())
+    }
+
+    fn backend(&self) -> Result<&Backend, Refusal> {
+        let backend = self.catalog.services.get(&self.service);
+        backend.ok_or(Refusal::NoEngine(FULL))
+    }
+
+    /// Time in which the answer should begin: until it is late. A request that goes on after a failure
+    /// is late already and gets the whole time again; one whose caller was sent away before gets
+    /// part of it.
+    fn objective_left(&self) -> Duration {
+        if self.call.sent() > 0 {
+            return self.route.objective;
+        }
+        if self.returned {
+            return self.route.objective.mul_f64(RETURNED_SHARE);
+        }
+        self.route.objective.saturating_sub(self.age())
+    }
+
+    /// Sends the request to some engine and returns its answer's head; `until` tells from the time
+    /// of the send how long the head is waited for.
+    pub async fn send(&mut self) -> Result<Offer, Problem> {
+        loop {
+            if self.left() < LEAST_LEFT {
+                return Err(self.out_of_time());
+            }
+            let choice = match self.place().await {
+                Ok(choice) => choice,
+                Err(refusal) => return Err(self.refused(refusal)),
+            };
+            self.note(
+                "sent",
+                format_args!(
+                    "engine={} data_centre={} expected_ms={} occupancy={} load_age_ms={} send={}",
+                    choice.ticket.id,
+                    choice.data_centre,
+                    choice.expected.map_or(0, |e| e.as_millis()),
+                    choice.occupancy,
+                    choice.load_age.map_or(-1, |age| age.as_millis() as i64),
+                    self.call.sent() + 1
+                ),
+            );
+            match self.offer(&choice).await {
+                Ok(offer) => return Ok(offer),
+                Err(problem) => match self.again(problem) {
+                    Ok(()) => {}
+                    Err(problem) => return Err(problem),
+                },
+            }
+        }
+    }
+
+    async fn offer(&mut self, choice: &Choice) -> Result<Offer, Problem> {
+        let place = Place::new(&self.site, choice.ticket.clone());
+        self.avoid.push(choice.ticket.id.clone());
+        let left = self.left();
+        let send = wire::Send {
+            instance: &choice.ticket.id,
+            tenant: self.tenant.as_ref().map(|t| &*t.name),
+            left,
+            after: self.call.last(),
+            urgency: None,
+        };
+        let head = wire::request(&self.parts, self.body.len(), &send);
+        self.call.handle(Event::Send);
+        let until = self.head_due(&choice.ticket);
+        let offered = Offer::make(
+            place,
+            &head,
+            &self.body,
+            &self.ask.id,
+            self.route.kind,
+            until,
+        );
+        match offered.await {
+            Ok(offer) => Ok(offer),
+            Err(miss) => Err(self.missed(miss, &choice.ticket.id)),
+        }
+    }
+
+    /// Time until which the head of an answer is waited for, if silence may end the wait.
+    pub fn head_due(&self, _ticket: &jayspread_core::place::Ticket) -> Instant {
+        let more = self.route.kind.repeatable() && self.call.sent() < self.route.attempts;
+        if !more || self.route.kind.streams() {
+            return self.deadline;
+        }
+        let patience = (self.route.objective * PATIENCE).max(PATIENCE_MIN);
+        self.deadline.min(clock::now() + patience)
+    }
+
+    /// Takes in that an engine gave no usable answer.
+    pub fn missed(&mut self, miss: Miss, engine: &str) -> Problem {
+        metrics::count(&self.site.metrics.sends, miss.name());
+        self.note("missed", format_args!("engine={engine} reason={miss}"));
+        let (event, problem) = match miss {
+            Miss::Unsent(_) => (Event::Unsent, Problem::refused("unreachable", FULL)),
+            Miss::NotRun(_) => (Event::NotRun, Problem::refused("engine_full", FULL)),
+            Miss::Lost(_) => (Event::Lost, Problem::failed("answer_lost")),
+            Miss::Late => (Event::Lost, Problem::failed("silent")),
+        };
+        self.call.handle(event);
+        problem
+    }
+
+    /// Whether another engine may get the request after a failure; the problem to answer with if
+    /// not.
+    pub fn again(&mut self, problem: Problem) -> Result<(), Problem> {
+        match self.call.next() {
+            Next::Refuse => return Err(Problem::refused(problem.reason, FULL)),
+            Next::Fail => return Err(self.hopeless(problem)),
+            Next::Again | Next::Resume(_) => {}
+        }
+        if self.call.sent() > 0 && !self.site.take_repeat(&self.service) {
+            self.note("no_repeat", format_args!("reason=budget"));
+            return Err(self.hopeless(problem));
+        }
+        Ok(())
+    }
+
+    fn hopeless(&self, problem: Problem) -> Problem {
+        if self.call.not_run() {
+            return Problem::refused(problem.reason, FULL);
+        }
+        if self.left().is_zero() {
+            return Problem::late();
+        }
+        Problem::failed(problem.reason)
+    }
+
+    fn out_of_time(&self) -> Problem {
+        if self.call.not_run() {
+            return Problem::refused("deadline", FULL);
+        }
+        Problem::late()
+    }
+
+    fn refused(&self, refusal: Refusal) -> Problem {
+        if self.call.not_run() {
+            return Problem::refused(refusal.name(), refusal.retry_after());
+        }
+        Problem::failed(refusal.name())
+    }
+
+    /// Goes on with a stream at another engine, if that is allowed.
+    pub async fn resume(&mut self, reason: &'static str) -> Option<Offer> {
+        self.call.handle(Event::Lost);
+        self.note(
+            "stream_broke",
+            format_args!("reason={reason} last={:?}", self.call.last()),
+        );
+        let problem = Problem::failed(reason);
+        self.again(problem).ok()?;
+        let offer = self.send().await.ok()?;
+        self.site.metrics.resumed.inc();
+        Some(offer)
+    }
+
+    /// Whether an engine's own error is worth another engine.
+    pub fn repeats_error(&mut self) -> bool {
+        if !self.route.kind.repeatable() || self.call.sent() >= self.route.attempts {
+            return false;
+        }
+        if !self.site.take_repeat(&self.service) {
+            return false;
+        }
+        self.call.handle(Event::Lost);
+        true
+    }
+
+    /// Whether the caller has an event already; an engine that goes on may repeat one.
+    pub fn has(&self, event: &events::Event) -> bool {
+        let (Some(id), Some(last)) = (event.id, self.call.last()) else {
+            return false;
+        };
+        id <= last
+    }
+
+    /// Whether another engine could take over if this one is given up.
+    pub fn may_move(&self) -> bool {
+        let kind = self.route.kind;
+        let resumes = !self.call.begun() || self.call.last().is_some();
+        kind.repeatable() && resumes && self.call.sent() < self.route.attempts
+    }
+}
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod callers;
 mod gossip;
+mod job;
 mod metrics;
 mod mirror;
 mod offer;
--- a/crates/entry/src/front/peers.rs
+++ b/crates/entry/src/front/peers.rs
@@ -11,7 +11,7 @@
     axum::{Router, extract::State, http::StatusCode, response::IntoResponse, routing::get},
     bytes::Bytes,
     jayspread_net::{
-        channel::{Client, Request},
+        client::{Client, Request},
         clock, event,
     },
     jayspread_platform::store::{Batch, Record, Topic},
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -4,8 +4,8 @@
 use {
     crate::front::{
         body::{Body, Cut, Pieces, streamed},
+        job::Job,
         offer::{Miss, Offer},
-        relay::Job,
     },
     bytes::{Bytes, BytesMut},
     jayspread_core::{
--- a/crates/entry/src/front/trace.rs
+++ b/crates/entry/src/front/trace.rs
@@ -19,7 +19,7 @@
     pub fn new(request: &str, sample: u32) -> Self {
         Self {
             id: request.into(),
-            sampled: id::score(b"log", request) % u64::from(sample) == 0,
+            sampled: id::score(b"log", request).is_multiple_of(u64::from(sample)),
             lines: Vec::new(),
         }
     }
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -23,7 +23,7 @@
 /// Wait of one long read.
 const WAIT: Duration = Duration::from_millis(15_000);
 /// Pause before the list of engines is read on, so that changes that come together cost one call.
-const GATHER: Duration = Duration::from_millis(450);
+const GATHER: Duration = Duration::from_millis(800);
 /// Pause after the first failed call.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admin;
 pub mod cert;
 pub mod channel;
+pub mod client;
 pub mod clock;
 pub mod datagram;
 pub mod frame;
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -161,11 +161,11 @@
             .filter(move |(host, c)| c.role == role && self.health.usable(host))
     }
 
-    /// Place of this process, `me`, among the members of its role in the order of their names, and
-    /// how many they are.
-    pub fn place(&self, me: &str, role: Role) -> (usize, usize) {
+    /// Place of this process, `me`, among the members of its role in data centres that `group` takes,
+    /// in the order of their names, and how many they are.
+    pub fn place(&self, me: &str, role: Role, group: impl Fn(&str) -> bool) -> (usize, usize) {
         let (mut before, mut others) = (0, 0);
-        for (host, _) in self.of(role) {
+        for (host, _) in self.of(role).filter(|(_, c)| group(&c.data_centre)) {
             others += 1;
             before += usize::from(**host < *me);
         }
@@ -182,7 +182,20 @@
 
     /// Members of a role that beats go to: all that are known, heard from or only named.
     pub fn addresses(&self, role: Role, me: Ipv4Addr) -> Vec<Ipv4Addr> {
-        let fitting = self.contacts.values().filter(|c| c.role == role);
+        self.addresses_in(role, me, |_| true)
+    }
+
+    /// The same in data centres that `group` takes.
+    pub fn addresses_in(
+        &self,
+        role: Role,
+        me: Ipv4Addr,
+        group: impl Fn(&str) -> bool,
+    ) -> Vec<Ipv4Addr> {
+        let fitting = self
+            .contacts
+            .values()
+            .filter(|c| c.role == role && group(&c.data_centre));
         let addresses = fitting.map(|c| c.address);
         addresses.filter(|address| *address != me).collect()
     }
--- a/crates/net/tests/channel.rs
+++ b/crates/net/tests/channel.rs
@@ -1,7 +1,10 @@
 //! One connection: how answers end, and what makes a connection unfit for another request.
 
 use {
-    jayspread_net::channel::{Channel, Client, Error, Request},
+    jayspread_net::{
+        channel::{Channel, Error},
+        client::{Client, Request},
+    },
     rstest::rstest,
     std::{net::SocketAddr, time::Duration},
     tokio::{
