--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -173,38 +173,31 @@
     engine
 }
 
-/// Reports that go to one group of hosts.
+/// What was reported last to one group of hosts.
 #[derive(Default)]
-struct Reports {
-    last: Option<(Engine, Instant)>,
-    round: u64,
-}
+struct Reported(Option<(Engine, Instant)>);
 
-impl Reports {
-    /// The report that is due: the state has changed, at most every `interval`, or a beat is due.
-    fn due(&mut self, engine: &Engine, interval: Duration, now: Instant) -> Option<Engine> {
-        if let Some((sent, at)) = &self.last {
-            let age = now.saturating_duration_since(*at);
-            let turned = (sent.version, sent.answers, sent.closed)
-                != (engine.version, engine.answers, engine.closed);
-            let changed = *sent != *engine && age >= interval;
-            if !turned && !changed && age < BEAT {
-                return None;
-            }
-        }
-        self.last = Some((engine.clone(), now));
-        self.round += 1;
-        Some(Engine {
-            round: self.round,
-            ..engine.clone()
-        })
+impl Reported {
+    /// Whether a report is due: the state has changed, at most every `interval`, or a beat is due.
+    fn due(&self, engine: &Engine, interval: Duration, now: Instant) -> bool {
+        let Some((sent, at)) = &self.0 else {
+            return true;
+        };
+        let age = now.saturating_duration_since(*at);
+        let turned = (sent.version, sent.answers, sent.closed)
+            != (engine.version, engine.answers, engine.closed);
+        turned || age >= BEAT || *sent != *engine && age >= interval
+    }
+
+    fn send(&mut self, engine: &Engine, now: Instant) {
+        self.0 = Some((engine.clone(), now));
     }
 }
 
 /// Reports the engine's state and ages the roster until the task is aborted.
 pub async fn reports(slot: Arc<Slot>) {
-    let (mut near, mut far, mut agents) =
-        (Reports::default(), Reports::default(), Reports::default());
+    let (mut near, mut far, mut agents) = <(Reported, Reported, Reported)>::default();
+    let mut round = 0;
     let mut beat: Option<Instant> = None;
     loop {
         let now = clock::now();
@@ -213,11 +206,19 @@
             spreads: Vec::new(),
             ..engine.clone()
         };
-        if let Some(report) = near.due(&load, REPORT, now) {
-            send(&slot, Role::Entry, report, |own| own);
-        }
-        if let Some(report) = far.due(&load, REPORT_FAR, now) {
-            send(&slot, Role::Entry, report, |own| !own);
+        if near.due(&load, REPORT, now) {
+            round += 1;
+            let report = Engine {
+                round,
+                ..load.clone()
+            };
+            // Both groups get the same round, so that they share the same places out.
+            let both = far.due(&load, REPORT_FAR, now);
+            send(&slot, Role::Entry, report, |own| own || both);
+            near.send(&load, now);
+            if both {
+                far.send(&load, now);
+            }
         }
         let holds = Engine {
             running: 0,
@@ -226,8 +227,9 @@
             closes_in_ms: 0,
             ..engine
         };
-        if let Some(report) = agents.due(&holds, REPORT, now) {
-            send(&slot, Role::Agent, report, |_| true);
+        if agents.due(&holds, REPORT, now) {
+            agents.send(&holds, now);
+            send(&slot, Role::Agent, holds, |_| true);
         }
         if beat.is_none_or(|at| now >= at + BEAT) {
             beat = Some(now);
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -18,10 +18,13 @@
 const REPORT_STALE: Duration = Duration::from_millis(1_500);
 /// Age up to which the credit that a report gives may be spent.
 const CREDIT_FRESH: Duration = Duration::from_millis(300);
-/// Free places of an engine that entry hosts of other regions leave to those of its own.
-const FAR_RESERVE: u32 = 4;
+/// Free places of an engine that entry hosts of other regions leave to those of its own: both groups
+/// share the same places out.
+const FAR_RESERVE: u32 = 3;
 /// Time for which a request may run on behind the planned order of a load.
 const OVERTIME: Duration = Duration::from_millis(250);
+/// Odd number that spreads successive rounds over all places; from Fibonacci hashing.
+const ROTATION: u64 = 0x9E37_79B9_7F4A_7C15;
 /// Time that an engine may read prompts in one pass. What runs there gets no event meanwhile, and
 /// who comes in the middle waits for the end of the pass.
 const READING_MAX: Duration = Duration::from_millis(130);
@@ -101,8 +104,10 @@
     /// Place of the host at `index` in that round of reports, among hosts of the engine's region.
     pub fn new(index: usize, of: usize, round: u64) -> Self {
         let of = of.max(1) as u64;
+        // Hosts that get every third report must come to all places too.
+        let turned = round.wrapping_mul(ROTATION) >> 32;
         Self {
-            place: ((index as u64 + round) % of) as u32,
+            place: ((index as u64 + turned) % of) as u32,
             of: of as u32,
             reserve: 0,
         }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -218,6 +218,18 @@
         true
     }
 
+    /// Regions in which an engine of a service may get work.
+    pub fn homes(&self, service: &str) -> BTreeSet<Region> {
+        let open = |slot: &&Slot| {
+            let listing = &slot.engine.listing;
+            let out = listing.draining || self.evacuated.contains(&listing.data_centre);
+            *listing.service == *service && !out
+        };
+        let open = self.slots.values().filter(open);
+        open.map(|slot| slot.engine.listing.region.clone())
+            .collect()
+    }
+
     /// Service of the engine that is listed at an address.
     pub fn service(&self, address: SocketAddr) -> Option<&Service> {
         let id = self.by_address.get(&address)?;
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -7,6 +7,7 @@
     },
     jayspread_core::{
         engine::{self, Load, Report, Turn},
+        id::Region,
         place::Table,
     },
     jayspread_net::{
@@ -88,18 +89,23 @@
     }
 }
 
-/// This host's turn at an engine in that data centre.
-fn turn(site: &Site, data_centre: &str, round: u64) -> Turn {
+/// This host's turn at an engine in that data centre. Hosts of its region go first, and with them
+/// those whose own region has no engine of the service.
+fn turn(site: &Site, data_centre: &str, homes: &BTreeSet<Region>, round: u64) -> Turn {
     let regions = &site.settings.regions;
     let region = |data_centre: &str| regions.get(data_centre).map(|r| &**r);
     let there = region(data_centre);
-    let near = there == Some(&*site.region);
+    let belongs = |from: &str| {
+        let from = region(from);
+        from == there || from.is_none_or(|from| !homes.contains(from))
+    };
+    let near = belongs(&site.settings.data_centre);
     let roster = lock(&site.roster);
-    let group = |data_centre: &str| (region(data_centre) == there) == near;
+    let group = |from: &str| belongs(from) == near;
     let (index, of) = roster.place(&site.settings.host, Role::Entry, group);
     let served = roster
         .of(Role::Entry)
-        .any(|(_, contact)| region(&contact.data_centre) == there);
+        .any(|(_, contact)| belongs(&contact.data_centre));
     if near || !served {
         Turn::new(index, of, round)
     } else {
@@ -107,15 +113,16 @@
     }
 }
 
-/// Requests that the engine at an address can begin at once.
-fn intake(site: &Site, address: SocketAddr) -> u32 {
-    let Some(catalog) = site.catalog() else {
-        return 1;
-    };
+/// Requests that the engine at an address can begin at once, and regions where others of its service
+/// may get work.
+fn service(site: &Site, address: SocketAddr) -> (u32, BTreeSet<Region>) {
+    let catalog = site.catalog();
     let table = lock(&site.table);
-    let backend = table.service(address).and_then(|s| catalog.services.get(s));
-    let speed = backend.and_then(|backend| backend.speed.as_ref());
-    speed.map_or(1, engine::intake)
+    let (Some(catalog), Some(name)) = (catalog, table.service(address)) else {
+        return (1, BTreeSet::new());
+    };
+    let speed = catalog.services.get(name).and_then(|b| b.speed.as_ref());
+    (speed.map_or(1, engine::intake), table.homes(name))
 }
 
 fn report(site: &Site, engine: &Engine, data_centre: &str) {
@@ -125,8 +132,9 @@
     );
     let now = clock::now();
     let closes = Duration::from_millis(engine.closes_in_ms);
+    let (intake, homes) = service(site, address);
     let report = Report {
-        turn: turn(site, data_centre, engine.round),
+        turn: turn(site, data_centre, &homes, engine.round),
         answers: engine.answers,
         load: Load {
             running: engine.running,
@@ -136,7 +144,7 @@
         version: (engine.version > 0).then_some(engine.version),
         closed: engine.closed,
         closes: (!closes.is_zero()).then(|| now + closes),
-        intake: intake(site, address),
+        intake,
     };
     lock(&site.table).hear(address, engine.born_ms, report, now);
 }
