A broken stream goes on at once, a silent engine is left before the head of its answer

Cause: a stream whose engine broke off was failed when no place was free at that moment, and a request to an engine that went dark waited until its deadline, since its answer's head comes with the first event.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -55,6 +55,9 @@
     pub avoid: &'a [Id],
     /// Entry hosts that send to the same engines.
     pub hosts: usize,
+    /// A stream that broke off goes on: its caller has part of the answer, and losing it is worse than
+    /// crowding an engine.
+    pub urgent: bool,
 }
 
 /// Hold on a place at an engine; given back with [`Table::end`].
@@ -360,7 +363,7 @@
         let mut soonest: Option<(Duration, &Id)> = None;
         for id in suitable {
             let engine = &self.slots[id].engine;
-            if !engine.open(need.hosts, now) {
+            if !need.urgent && !engine.open(need.hosts, now) {
                 continue;
             }
             let expected = engine.first_event(speed, need.prompt, need.hosts, now) + RELAY;
@@ -374,10 +377,13 @@
             }
             let occupancy = f64::from(engine.occupancy(need.hosts, now));
             let free = occupancy < f64::from(speed.slots) * LATE_FILL;
-            if free && soonest.is_none_or(|(best, _)| expected < best) {
+            if (free || need.urgent) && soonest.is_none_or(|(best, _)| expected < best) {
                 soonest = Some((expected, id));
             }
         }
+        if need.urgent {
+            return soonest.map(|(_, id)| id.clone());
+        }
         draw(&near, rng)
             .or_else(|| draw(&far, rng))
             .or_else(|| draw(&closing, rng))
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -114,6 +114,7 @@
         least_version: 0,
         avoid: &[],
         hosts: 1,
+        urgent: false,
     }
 }
 
@@ -559,3 +560,16 @@
     f.hear(1, read_four(4, 0));
     assert_eq!(count(&mut f), 4);
 }
+
+/// Pattern: an engine dies under full load. Its streams go on at the others, full as they are.
+#[test]
+fn a_broken_stream_finds_a_place_on_a_full_fleet() {
+    let mut f = Fixture::new(&[("a", "r1"), ("b", "r1")]);
+    f.hear(1, report(SLOTS, 4, alone()));
+    f.hear(2, report(SLOTS, 2, alone()));
+    let mut need = need(&f.route, &f.backend);
+    assert!(f.table.choose(&need, &mut f.rng, f.now).is_err());
+    need.urgent = true;
+    let choice = f.table.choose(&need, &mut f.rng, f.now).expect("goes on");
+    assert_eq!(&*choice.ticket.id, "b");
+}
--- a/crates/entry/src/front/job.rs
+++ b/crates/entry/src/front/job.rs
@@ -4,7 +4,7 @@
     crate::{
         front::{
             answer::Problem,
-            offer::{Miss, Offer, Place},
+            offer::{Miss, Offer, Patience, Place},
             site::Site,
             trace::Trace,
         },
@@ -41,6 +41,8 @@
 /// Part of a route's objective for which a request waits for a place when all are taken; longer
 /// than that, the caller is better served by an early refusal.
 const HOLD: u32 = 8;
+/// Time for which a request that an engine has failed waits for another one.
+const HOLD_AGAIN: Duration = Duration::from_millis(500);
 /// Delay suggested to a caller who yields to first tries.
 const YIELD: Duration = Duration::from_millis(1_500);
 /// Pause between two looks for a place.
@@ -140,12 +142,10 @@
         if self.returned && self.route.kind.streams() && self.site.pressed(&self.service) {
             return Err(Refusal::Busy(YIELD));
         }
-        let hold = self.route.objective / HOLD;
+        let until = self.hold();
         loop {
             match self.choose() {
-                Err(Refusal::Busy(_)) if first && self.age() + LOOK < hold => {
-                    time::sleep(LOOK).await;
-                }
+                Err(_) if clock::now() + LOOK < until => time::sleep(LOOK).await,
                 chosen => {
                     if first && matches!(chosen, Err(Refusal::Busy(_))) {
                         self.site.press(&self.service);
@@ -156,6 +156,18 @@
         }
     }
 
+    /// Time until which a place is waited for: a part of the objective on the first try, long enough
+    /// to find another engine when one has failed, and not at all for who was sent away before.
+    fn hold(&self) -> Instant {
+        if self.call.sent() > 0 {
+            return self.deadline.min(clock::now() + HOLD_AGAIN);
+        }
+        if self.returned {
+            return self.arrived;
+        }
+        self.arrived + self.route.objective / HOLD
+    }
+
     /// Chooses an engine; the request has not run if that fails before the first send.
     fn choose(&mut self) -> Result<Choice, Refusal> {
         let hosts = self.site.hosts();
@@ -173,6 +185,7 @@
             least_version,
             avoid: &self.avoid,
             hosts,
+            urgent: self.call.begun(),
         };
         let mut table = lock(&self.site.table);
         table.choose(&need, &mut rand::rng(), clock::now())
@@ -238,18 +251,19 @@
             tenant: self.tenant.as_ref().map(|t| &*t.name),
             left,
             after: self.call.last(),
-            urgency: None,
+            // Nothing may come before a stream that goes on: its caller is waiting in the middle.
+            urgency: self.call.begun().then_some(0),
         };
         let head = wire::request(&self.parts, self.body.len(), &send);
         self.call.handle(Event::Send);
-        let until = self.head_due(&choice.ticket);
+        let patience = self.patience();
         let offered = Offer::make(
             place,
             &head,
             &self.body,
             &self.ask.id,
             self.route.kind,
-            until,
+            patience,
         );
         match offered.await {
             Ok(offer) => Ok(offer),
@@ -257,14 +271,26 @@
         }
     }
 
-    /// Time until which the head of an answer is waited for, if silence may end the wait.
-    pub fn head_due(&self, _ticket: &jayspread_core::place::Ticket) -> Instant {
-        let more = self.route.kind.repeatable() && self.call.sent() < self.route.attempts;
-        if !more || self.route.kind.streams() {
-            return self.deadline;
+    /// How long the head of an answer, or the rest of a plain one, is waited for.
+    pub fn patience(&self) -> Patience {
+        let moves = self.may_move();
+        let objective = self.route.objective;
+        if !self.route.kind.streams() {
+            let patience = (objective * PATIENCE).max(PATIENCE_MIN);
+            let until = clock::now() + patience;
+            return Patience {
+                until: if moves {
+                    self.deadline.min(until)
+                } else {
+                    self.deadline
+                },
+                silent: None,
+            };
+        }
+        Patience {
+            until: self.deadline,
+            silent: moves.then_some(objective),
         }
-        let patience = (self.route.objective * PATIENCE).max(PATIENCE_MIN);
-        self.deadline.min(clock::now() + patience)
     }
 
     /// Takes in that an engine gave no usable answer.
--- a/crates/entry/src/front/offer.rs
+++ b/crates/entry/src/front/offer.rs
@@ -21,6 +21,15 @@
 /// Idle time up to which a connection is used for a request that runs at most once: the older one
 /// is, the likelier the engine is closing it, and then nobody knows whether the request ran.
 const FRESH: Duration = Duration::from_millis(100);
+/// Interval of looking at an engine that is silent.
+const LOOK: Duration = Duration::from_millis(100);
+/// Age up to which an agent's word that its engine answers counts.
+const VOUCHED: Duration = Duration::from_millis(700);
+/// Silence of an engine that nobody vouches for, as a multiple of what the route aims at, from
+/// which the request goes to another one.
+const SILENT: f64 = 1.5;
+/// The same for an engine whose agent says that it answers: it is busy rather than gone.
+const SILENT_VOUCHED: f64 = 4.0;
 /// Largest answer to an earlier request that is read and dropped, bytes.
 const STRAY_MAX: usize = 1 << 20;
 
@@ -83,9 +92,13 @@
         self.judged = Some((verdict, reason));
     }
 
-    /// Whether the agent beside the engine said within `age` that the engine answers.
-    pub fn vouched(&self, age: Duration) -> bool {
-        lock(&self.site.table).vouched(&self.ticket, age, clock::now())
+    /// Whether an engine has been silent since `since` for longer than can be borne where `aim` is
+    /// aimed at; one whose agent says that it answers is borne longer.
+    pub fn silent(&self, since: Instant, aim: Duration) -> bool {
+        let now = clock::now();
+        let vouched = lock(&self.site.table).vouched(&self.ticket, VOUCHED, now);
+        let factor = if vouched { SILENT_VOUCHED } else { SILENT };
+        now.saturating_duration_since(since) > aim.mul_f64(factor)
     }
 }
 
@@ -99,6 +112,15 @@
     }
 }
 
+/// How long an answer is waited for.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    /// At the latest until then.
+    pub until: Instant,
+    /// What the route aims at, if the request may go to another engine when this one is silent.
+    pub silent: Option<Duration>,
+}
+
 /// An answer whose head has come.
 pub struct Offer {
     /// The place at the engine.
@@ -110,14 +132,14 @@
 }
 
 impl Offer {
-    /// Sends a request and waits for the head of its answer until `until`.
+    /// Sends a request and waits for the head of its answer.
     pub async fn make(
         mut place: Place,
         head: &[u8],
         body: &[u8],
         id: &str,
         kind: Kind,
-        until: Instant,
+        patience: Patience,
     ) -> Result<Self, Miss> {
         let mut channel = match connect(&place, kind).await {
             Ok(channel) => channel,
@@ -127,10 +149,10 @@
             }
         };
         channel.send(head, body);
-        let waited = time::timeout_at(until.into(), answer(&mut channel, id)).await;
+        let waited = wait(&place, answer(&mut channel, id), patience).await;
         let (head, answer) = match waited {
-            Ok(Ok(answered)) => answered,
-            Ok(Err(cause)) => {
+            Some(Ok(answered)) => answered,
+            Some(Err(cause)) => {
                 place.judge(Verdict::Bad, cause.name());
                 return Err(if cause.unsent() {
                     Miss::Unsent(cause.name())
@@ -138,7 +160,7 @@
                     Miss::Lost(cause.name())
                 });
             }
-            Err(_) => {
+            None => {
                 place.judge(Verdict::Bad, "silent");
                 return Err(Miss::Late);
             }
@@ -185,6 +207,22 @@
     }
 }
 
+/// Waits for an answer; nothing when patience ends first.
+async fn wait<T>(place: &Place, answer: impl Future<Output = T>, patience: Patience) -> Option<T> {
+    let since = clock::now();
+    let mut answer = std::pin::pin!(answer);
+    loop {
+        let look = (clock::now() + LOOK).min(patience.until);
+        if let Ok(answered) = time::timeout_at(look.into(), answer.as_mut()).await {
+            return Some(answered);
+        }
+        let silent = patience.silent.is_some_and(|aim| place.silent(since, aim));
+        if silent || clock::now() >= patience.until {
+            return None;
+        }
+    }
+}
+
 async fn connect(place: &Place, kind: Kind) -> Result<Channel, Error> {
     let fresh = match kind {
         Kind::Once | Kind::Stream => FRESH,
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -192,7 +192,7 @@
                     return Ok(response);
                 }
             };
-            let until = self.head_due(&offer.place.ticket);
+            let until = self.patience().until;
             let rest = time::timeout_at(until.into(), offer.channel.rest(ANSWER_MAX)).await;
             let body = match rest {
                 Ok(Ok(body)) => body,
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -20,13 +20,6 @@
 
 /// Interval of looking at a stream that gives nothing.
 const LOOK: Duration = Duration::from_millis(100);
-/// Age up to which an agent's word that its engine answers counts.
-const VOUCHED: Duration = Duration::from_millis(700);
-/// Silence of an engine that nobody vouches for, as a multiple of what the route aims at, from
-/// which the request goes to another one.
-const SILENT: f64 = 1.5;
-/// The same for an engine whose agent says that it answers: it is busy rather than gone.
-const SILENT_VOUCHED: f64 = 4.0;
 /// Pause that counts as aimed at where the route states none.
 const GAP: Duration = Duration::from_millis(500);
 
@@ -98,7 +91,7 @@
                 Ok(Err(cause)) => return Found::Broken(cause.name()),
                 Err(_) if clock::now() >= job.deadline => return Found::Deadline,
                 Err(_) => {
-                    if self.silent(since, aim) && job.may_move() {
+                    if job.may_move() && self.offer.place.silent(since, aim) {
                         return Found::Broken("stalled");
                     }
                 }
@@ -106,16 +99,6 @@
         }
     }
 
-    fn silent(&self, since: Instant, aim: Duration) -> bool {
-        let quiet = clock::now().saturating_duration_since(since);
-        let factor = if self.offer.place.vouched(VOUCHED) {
-            SILENT_VOUCHED
-        } else {
-            SILENT
-        };
-        quiet > aim.mul_f64(factor)
-    }
-
     /// Makes the body that the caller gets.
     pub fn into_body(mut self, job: Job) -> Body {
         let first = self.first.take();
