--- a/crates/entry/src/front/process.rs
+++ b/crates/entry/src/front/process.rs
@@ -23,6 +23,9 @@
 /// Time after the stop signal in which the balancer still sends new connections: it asks once a
 /// second and believes the second answer.
 const BALANCER_NOTICE: Duration = Duration::from_millis(3_200);
+/// Time after the stop signal from which requests are refused: what begins later might not end inside
+/// the grace time. The balancer sends to a stopping host for as long as too few others are ready.
+const LAST_TAKEN: Duration = Duration::from_millis(2_800);
 /// Part of the grace time that is kept free for ending.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
 /// Interval of looking whether everything has ended.
@@ -133,6 +136,9 @@
         let running = || self.site.calls.load(Ordering::Acquire);
         event!(Info, "stopping", in_flight = running());
         self.site.socket.leave();
+        let last = began + LAST_TAKEN.min(grace / 2);
+        // A second stop cannot come: the process is consumed by the first.
+        let _ = self.site.closed_from.set(last);
         self.site.leaving.send_replace(true);
         self.site.news.notify_one();
         while clock::now() < due && (clock::now() < notice || running() > 0) {
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -33,6 +33,8 @@
 
 /// Delay suggested to callers of a process that knows no configuration yet.
 const STARTING: Duration = Duration::from_millis(500);
+/// Delay suggested to callers of a process that is about to end; another one takes them at once.
+const STOPPING: Duration = Duration::from_millis(50);
 /// Largest plain answer taken, bytes.
 const ANSWER_MAX: usize = 16 << 20;
 
@@ -70,6 +72,9 @@
     ask: Option<Ask>,
     arrived: Instant,
 ) -> Result<Job, Problem> {
+    if site.is_closed() {
+        return Err(Problem::refused("stopping", STOPPING));
+    }
     let Some(catalog) = site.catalog() else {
         return Err(Problem::refused("starting", STARTING));
     };
--- a/crates/entry/src/front/site.rs
+++ b/crates/entry/src/front/site.rs
@@ -22,7 +22,7 @@
     std::{
         collections::BTreeMap,
         sync::{
-            Arc, Mutex,
+            Arc, Mutex, OnceLock,
             atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
@@ -124,6 +124,8 @@
     pub asking: AtomicBool,
     /// Set when the process stops.
     pub leaving: watch::Sender<bool>,
+    /// Time from which a stopping process takes no more requests.
+    pub closed_from: OnceLock<Instant>,
     /// The list of engines was read at least once.
     pub listed: AtomicBool,
     /// Requests in flight.
@@ -156,6 +158,7 @@
             ahead: watch::Sender::default(),
             asking: AtomicBool::new(false),
             leaving: watch::Sender::new(false),
+            closed_from: OnceLock::new(),
             listed: AtomicBool::new(false),
             calls: AtomicUsize::new(0),
             dropped,
@@ -173,6 +176,12 @@
         *self.leaving.borrow()
     }
 
+    /// Whether a stop has gone so far that no more requests are taken.
+    pub fn is_closed(&self) -> bool {
+        let from = self.closed_from.get();
+        from.is_some_and(|from| clock::now() >= *from)
+    }
+
     /// Entry hosts that share limits, this one included.
     pub fn hosts(&self) -> usize {
         let live = lock(&self.roster).of(Role::Entry).count() + 1;
