--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -233,10 +233,9 @@
         }
         if beat.is_none_or(|at| now >= at + BEAT) {
             beat = Some(now);
-            let mut roster = lock(&slot.roster);
-            roster.tick(now);
-            members::ask(&slot.socket, &mut roster);
+            lock(&slot.roster).tick(now);
         }
+        members::ask(&slot.socket, &mut lock(&slot.roster));
         tokio::select! {
             () = time::sleep(REPORT) => {}
             () = slot.news.notified() => {}
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -51,8 +51,12 @@
         return;
     }
     let now = clock::now();
-    lock(&site.roster).hear(&packet, now);
+    let fresh = lock(&site.roster).hear(&packet, now);
     let from = Ipv4Addr::from_bits(packet.address);
+    if fresh {
+        // A process that has just started waits for the versions that a beat carries.
+        members::send(&site.socket, &site.socket.encode(beat(site)), from);
+    }
     match packet.body {
         Some(Body::Hello(_)) => {
             let list = lock(&site.roster).list(site.socket.identity.member());
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -63,8 +63,8 @@
         }
     }
 
-    /// Takes in who sent a packet.
-    pub fn hear(&mut self, packet: &Packet, now: Instant) {
+    /// Takes in who sent a packet; true when it was not heard before in this life.
+    pub fn hear(&mut self, packet: &Packet, now: Instant) -> bool {
         let host: Box<str> = packet.host.as_str().into();
         let contact = Contact {
             address: Ipv4Addr::from_bits(packet.address),
@@ -90,6 +90,7 @@
                 incarnation = packet.incarnation
             );
         }
+        matches!(change, Change::Up | Change::Restarted)
     }
 
     /// Takes in members that another one names.
