Remove what the platform's programs never used

Cause: reading the whole change again. Removed: a histogram that nothing fed and that the operators' page listed, an engine's cold and instance headers that nothing read, records of hosts in the store and introductions by them (members meet by seeds), counts of connections and exchanges, a flag that repeats whether the trace is still held. Ruled out as dead: Splitter::discard and Table::lives, which tests hold. No behaviour changes; the tests keep their assertions (one field less in a fixture).

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -71,8 +71,6 @@
     pub cold_left: Duration,
     /// Start of its life, Unix milliseconds, where it says so.
     pub born_ms: Option<u64>,
-    /// Whether it is a model engine.
-    pub model_engine: bool,
     /// The version that it holds.
     pub loaded: Option<Loaded>,
 }
@@ -176,8 +174,6 @@
     pub trust: Trust,
     /// Requests of this host in flight.
     pub own: u32,
-    /// Connections of this host.
-    pub connections: u32,
     seen: Option<Seen>,
     /// Time and content of the last report of its agent.
     report: Option<(Instant, Report)>,
@@ -195,7 +191,6 @@
             listing,
             trust: Trust::default(),
             own: 0,
-            connections: 0,
             seen: None,
             report: None,
             credit: 0,
@@ -252,11 +247,6 @@
         });
     }
 
-    /// Lengthens the cold time, as a health answer says.
-    pub fn chill(&mut self, left: Duration, now: Instant) {
-        self.cold_until = self.cold_until.max(now + left);
-    }
-
     /// Counts a request that is about to be sent.
     pub fn begin(&mut self, now: Instant) {
         self.own += 1;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -83,8 +83,6 @@
     pub occupancy: u32,
     /// Age of the load that decided, if any is known.
     pub load_age: Option<Duration>,
-    /// Connections that this host may have to the engine.
-    pub connections: u32,
 }
 
 /// Why no engine was chosen; the request has not run.
@@ -337,7 +335,6 @@
             expected,
             occupancy: engine.occupancy(need.hosts, now),
             load_age: engine.load_age(now),
-            connections: (need.backend.connections / need.hosts.max(1) as u32).max(1),
         };
         engine.begin(now);
         engine.trust.send(now);
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -71,7 +71,6 @@
         draining: false,
         cold_left: Duration::ZERO,
         born_ms: Some(1),
-        model_engine: true,
         loaded: Some(Loaded {
             model: "m".into(),
             version: 1,
--- a/crates/entry/src/front/job.rs
+++ b/crates/entry/src/front/job.rs
@@ -73,15 +73,14 @@
     pub avoid: Vec<Engine>,
     /// Its caller was sent away before.
     pub returned: bool,
-    /// What was decided on it.
+    /// What was decided on it; taken when the request ends.
     pub trace: Option<Trace>,
-    pub closed: bool,
 }
 
 impl Drop for Job {
     fn drop(&mut self) {
         self.site.calls.fetch_sub(1, Ordering::AcqRel);
-        if !self.closed {
+        if self.trace.is_some() {
             self.site.metrics.left.inc();
             self.note(
                 "caller_left",
@@ -121,7 +120,6 @@
         self.call.handle(Event::Done);
         self.site.metrics.whole.inc();
         self.note(event, values);
-        self.closed = true;
         self.close_trace(false);
     }
 
@@ -132,7 +130,6 @@
             "failed",
             format_args!("reason={reason} after_ms={}", self.age().as_millis()),
         );
-        self.closed = true;
         self.close_trace(true);
     }
 
--- a/crates/entry/src/front/metrics.rs
+++ b/crates/entry/src/front/metrics.rs
@@ -6,7 +6,7 @@
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
-    std::{sync::atomic::AtomicU64, time::Duration},
+    std::sync::atomic::AtomicU64,
 };
 
 /// All metrics.
@@ -28,8 +28,6 @@
     pub left: Counter,
     /// Time to the head of an answer or the first event, seconds.
     pub first_byte: Histogram,
-    /// Difference between the expected and the real time to the first event, seconds.
-    pub prediction_error: Histogram,
     /// Longest pause between events of a stream, seconds.
     pub pause: Histogram,
     /// Calls to the store by result.
@@ -65,7 +63,6 @@
             resumed: Counter::default(),
             left: Counter::default(),
             first_byte: Histogram::new(buckets()),
-            prediction_error: Histogram::new(buckets()),
             pause: Histogram::new(buckets()),
             store: Family::default(),
             store_time: Histogram::new(buckets()),
@@ -98,11 +95,6 @@
             "Time to the first byte",
             self.first_byte.clone(),
         );
-        r.register(
-            "prediction_error_seconds",
-            "Error of the expected time to the first event",
-            self.prediction_error.clone(),
-        );
         r.register(
             "pause_seconds",
             "Longest pause of a stream",
@@ -128,9 +120,4 @@
         );
         registry
     }
-
-    /// Observes a duration.
-    pub fn observe(histogram: &Histogram, took: Duration) {
-        histogram.observe(took.as_secs_f64());
-    }
 }
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -127,7 +127,6 @@
         avoid: Vec::new(),
         returned,
         trace: Some(trace),
-        closed: false,
     })
 }
 
--- a/crates/entry/src/front/site.rs
+++ b/crates/entry/src/front/site.rs
@@ -74,7 +74,6 @@
         match topic {
             Topic::Operator => self.operator,
             Topic::Engines => self.engines,
-            Topic::Hosts => 0,
         }
     }
 }
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -144,7 +144,6 @@
         match self.topic {
             Topic::Operator => operator(&self.site, news),
             Topic::Engines => engines(&self.site, news, self.grace()),
-            Topic::Hosts => {}
         }
     }
 
@@ -177,7 +176,6 @@
     match topic {
         Topic::Operator => "operator",
         Topic::Engines => "engines",
-        Topic::Hosts => "hosts",
     }
 }
 
@@ -190,7 +188,7 @@
     let mut mirrors = lock(&site.mirrors);
     match topic {
         Topic::Engines => using(&mut mirrors.engines),
-        Topic::Operator | Topic::Hosts => using(&mut mirrors.operator),
+        Topic::Operator => using(&mut mirrors.operator),
     }
 }
 
--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -109,8 +109,6 @@
     pub status: StatusCode,
     /// Headers.
     pub headers: HeaderMap,
-    /// Length of the body, where the head tells it.
-    pub length: Option<u64>,
 }
 
 /// A connection.
@@ -125,7 +123,6 @@
     closing: bool,
     idle_limit: Duration,
     idle_since: Instant,
-    exchanges: u32,
 }
 
 impl Channel {
@@ -146,15 +143,9 @@
             closing: false,
             idle_limit: IDLE,
             idle_since: clock::now(),
-            exchanges: 0,
         })
     }
 
-    /// Exchanges that ended on this connection.
-    pub fn exchanges(&self) -> u32 {
-        self.exchanges
-    }
-
     /// Prepares a request; [`Channel::head`] sends it and reads the answer.
     pub fn send(&mut self, head: &[u8], body: &[u8]) {
         assert!(self.outgoing.is_empty(), "one request at a time");
@@ -320,7 +311,6 @@
 
     fn finish(&mut self) {
         self.framing = Framing::Done;
-        self.exchanges += 1;
         self.idle_since = clock::now();
     }
 
@@ -392,14 +382,9 @@
         let close_by_default = parsed.version == Some(0);
         self.incoming.advance(used);
         self.frame(status, &map, close_by_default)?;
-        let length = match self.framing {
-            Framing::Length(length) => Some(length),
-            _ => None,
-        };
         Ok(Some(Head {
             status,
             headers: map,
-            length,
         }))
     }
 
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -54,15 +54,6 @@
         }
     }
 
-    /// Adds addresses to ask while no member is known.
-    pub fn introduce(&mut self, addresses: impl IntoIterator<Item = Ipv4Addr>) {
-        for address in addresses {
-            if !self.seeds.contains(&address) {
-                self.seeds.push(address);
-            }
-        }
-    }
-
     /// Takes in who sent a packet; true when it was not heard before in this life.
     pub fn hear(&mut self, packet: &Packet, now: Instant) -> bool {
         let host: Box<str> = packet.host.as_str().into();
