Answers name the version they run on while their engine is drained

An agent looked up the version of an answer when its task began. An attempt admitted just before the load machine began to drain found no version, so its answer carried no x-version although it was whole. Ruled out: a change of version during an answer (the stand-in counts none), a foreign answer.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -253,6 +253,7 @@
             }
             Action::Resume(version) => {
                 event!(Info, "version_served", version = version);
+                *lock(&self.shared.served) = version.clone();
                 self.serves = Some(version);
                 None
             }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -1,7 +1,7 @@
 //! Tables shared by the tasks of an agent.
 //!
-//! Lock order: `config`, `loader`, `grants`, `admit`, `jobs`, `answers`, `chunks`. A task takes
-//! at most two at once, in this order, and holds none across an await.
+//! Lock order: `config`, `loader`, `served`, `grants`, `admit`, `jobs`, `answers`, `chunks`. A
+//! task takes at most two at once, in this order, and holds none across an await.
 
 use {
     crate::{
@@ -16,7 +16,7 @@
         admit::{Table, Turn},
         chunk,
         config::{Fold, State},
-        id::{Host, Request, Service},
+        id::{Host, Request, Service, Version},
         load::{self, Loader, Machine},
         ramp::Ramp,
         rollout::Grants,
@@ -66,6 +66,8 @@
     pub config: Mutex<Config>,
     /// Load orders.
     pub loader: Mutex<Loader>,
+    /// Version that the backend server was last known to serve; empty before the first.
+    pub served: Mutex<Version>,
     /// Grants of entry hosts.
     pub grants: Mutex<Grants>,
     /// Attempts.
@@ -128,6 +130,7 @@
         Arc::new(Self {
             config: Mutex::new(config),
             loader: Mutex::new(Loader::new(machine)),
+            served: Mutex::default(),
             grants: Mutex::default(),
             admit: Mutex::new(Table::new(node.identity.incarnation, ramp)),
             jobs: Mutex::default(),
@@ -276,9 +279,16 @@
         }
     }
 
-    /// Version that the backend server's answers come from, as operators name it.
+    /// Version that the answers of admitted attempts come from, as operators name it.
+    ///
+    /// It stays while the backend server is drained: attempts admitted before still run on it.
     pub fn serving(&self) -> String {
-        self.phase().1
+        let loader = lock(&self.loader);
+        let served = lock(&self.served);
+        match loader.want() {
+            Some(want) if want.same.contains(&*served) => want.version.to_string(),
+            _ => served.to_string(),
+        }
     }
 }
 
--- a/crates/fakes/examples/demo.rs
+++ b/crates/fakes/examples/demo.rs
@@ -4,7 +4,7 @@
 
 use {
     clap::Parser,
-    eyre::{Result, bail, ensure},
+    eyre::{Report, Result, bail, ensure, eyre},
     http::Method,
     jayspread_fakes::{
         bundle,
@@ -46,6 +46,12 @@
     /// Leave it running at the end and print addresses.
     #[arg(long)]
     keep: bool,
+    /// Seed of the stand-ins.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Times to run, each with the next seed; the first failure ends it.
+    #[arg(long, default_value_t = 1)]
+    runs: u64,
     /// Log level of the processes.
     #[arg(long, default_value = "error")]
     log_level: String,
@@ -55,18 +61,18 @@
 async fn main() -> ExitCode {
     let args = Args::parse();
     telemetry::start(&args.log_level);
-    match run(&args).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(cause) => {
-            println!("demo failed: {cause:#}");
-            ExitCode::FAILURE
+    for seed in (args.seed..).take(args.runs as usize) {
+        if let Err(cause) = run(&args, seed).await {
+            println!("demo failed: seed={seed} {cause:#}");
+            return ExitCode::FAILURE;
         }
     }
+    ExitCode::SUCCESS
 }
 
-async fn run(args: &Args) -> Result<()> {
+async fn run(args: &Args, seed: u64) -> Result<()> {
     let began = Instant::now();
-    let mut cluster = build().await?;
+    let mut cluster = build(seed).await?;
     say(
         began,
         "platform, 3 entry hosts and 16 backend servers started",
@@ -92,7 +98,7 @@
     let fees = effects(&cluster, "fee-1");
     cluster.close().await;
     println!(
-        "demo ok seconds={:.1} whole={} refused={} wrong={} effects_applied_to_fee={fees}",
+        "demo ok seed={seed} seconds={:.1} whole={} refused={} wrong={} effects_applied_to_fee={fees}",
         began.elapsed().as_secs_f64(),
         figures.whole,
         figures.refused,
@@ -105,8 +111,12 @@
     println!("{:6.2}s  {what}", began.elapsed().as_secs_f64());
 }
 
-async fn build() -> Result<Cluster> {
-    let mut cluster = Cluster::open(Plan::default()).await?;
+async fn build(seed: u64) -> Result<Cluster> {
+    let plan = Plan {
+        seed,
+        ..Plan::default()
+    };
+    let mut cluster = Cluster::open(plan).await?;
     let places = ["khomas-a", "erongo-a", "karas-a"];
     for number in 0..12 {
         let place = places[number % 3];
@@ -163,7 +173,7 @@
     let size = WEIGHTS as f64;
     cluster.roll(raw);
     let Some(took) = cluster.until(STEP_MAX, |c| c.serves("v1")).await else {
-        bail!("v1 did not reach every engine in time");
+        return Err(late(cluster, "v1"));
     };
     let copies = cluster.store.sent().0 as f64 / size;
     say(
@@ -176,6 +186,14 @@
     ready(cluster).await
 }
 
+/// Prints what each engine without the version waits for.
+fn late(cluster: &Cluster, version: &str) -> Report {
+    for line in cluster.behind(version) {
+        println!("        {line}");
+    }
+    eyre!("{version} did not reach every engine in time")
+}
+
 async fn ready(cluster: &Cluster) -> Result<()> {
     let usable = |c: &Cluster| {
         c.entries.values().all(|entry| {
@@ -319,7 +337,7 @@
     let before = cluster.store.sent().0;
     cluster.roll(raw(cluster, "v2", true));
     let Some(took) = cluster.until(STEP_MAX, |c| c.serves("v2")).await else {
-        bail!("v2 did not reach every engine in time");
+        return Err(late(cluster, "v2"));
     };
     let copies = (cluster.store.sent().0 - before) as f64 / WEIGHTS as f64;
     say(
--- a/crates/fakes/examples/measure/rollout.rs
+++ b/crates/fakes/examples/measure/rollout.rs
@@ -392,7 +392,7 @@
 fn complete(cluster: &Cluster) -> usize {
     let agents = cluster.agents.values().filter_map(|h| h.agent.as_ref());
     agents
-        .filter(|agent| agent.shared().serving() == "v1")
+        .filter(|agent| agent.shared().load().serving == "v1")
         .count()
 }
 
--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -15,6 +15,8 @@
 
 /// Largest answer, bytes.
 const ANSWER_MAX: usize = 64 * 1024 * 1024;
+/// Bytes of a wrong answer that an error shows.
+const SHOWN: usize = 160;
 
 /// What a caller got.
 #[derive(Debug, Clone)]
@@ -147,9 +149,14 @@
         let body = serde_json::to_vec(prompt).unwrap_or_default();
         let answer = self.send(Method::POST, &path, request, body).await?;
         if answer.status == StatusCode::OK && !whole(prompt, &answer) {
-            return Err(Error::Malformed(
-                "not the whole answer to the request".into(),
-            ));
+            let said = String::from_utf8_lossy(&answer.body[..answer.body.len().min(SHOWN)]);
+            let reason = format!(
+                "{} bytes of version {:?} are not the whole answer to {:?}: {said}",
+                answer.body.len(),
+                answer.version(),
+                prompt.prompt
+            );
+            return Err(Error::Malformed(reason.into()));
         }
         Ok(answer)
     }
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -12,7 +12,7 @@
     },
     ed25519_dalek::SigningKey,
     eyre::{Result, WrapErr},
-    jayspread_agent::Process as Agent,
+    jayspread_agent::{Process as Agent, shared::lock},
     jayspread_core::{chunk, route},
     jayspread_entry::{Process as Entry, hosts::Line},
     jayspread_net::cert::{self, Authority, Tls},
@@ -427,6 +427,34 @@
         loads.all(|load| load.phase() == Phase::Serving && load.serving == version)
     }
 
+    /// One line for each agent whose engine does not serve the version.
+    pub fn behind(&self, version: &str) -> Vec<String> {
+        let agents = self
+            .agents
+            .iter()
+            .filter_map(|(host, h)| Some((host, h.agent.as_ref()?)));
+        let lines = agents.filter_map(|(host, agent)| {
+            let shared = agent.shared();
+            let load = shared.load();
+            let machine = lock(&shared.loader).state().to_string();
+            let members = lock(&shared.config).members.len();
+            (load.serving != version).then(|| {
+                format!(
+                    "host={host} phase={:?} machine={machine} serving={:?} wanted={:?} chunks={}/{} pause={:?} members={} revision={}",
+                    load.phase(),
+                    load.serving,
+                    load.wanted,
+                    load.chunks,
+                    load.chunks_wanted,
+                    load.pause,
+                    members,
+                    shared.state().revision,
+                )
+            })
+        });
+        lines.collect()
+    }
+
     /// Waits until `done`, at most for `limit`; gives the time it took.
     pub async fn until(&self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
         let began = Instant::now();
