Reports between agents are bounded by the size of the fleet

Cause: each agent told every other one of its pieces every 60 ms, 75 agents x 74 reports: about 30 Mbit/s between two regions, as much as their link carries, and beats of entry hosts went to all agents twice a second. Change: spread::pause, 200 reports a second and group; far agents get every second beat. Test: reports_of_a_large_fleet_leave_the_links_between_regions_to_the_pieces.

--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -5,6 +5,7 @@
         shared::lock,
         slot::tables::{Other, Slot, Source},
     },
+    jayspread_core::spread,
     jayspread_net::{
         clock, event,
         members::{self, BEAT},
@@ -196,7 +197,8 @@
 
 /// Reports the engine's state and ages the roster until the task is aborted.
 pub async fn reports(slot: Arc<Slot>) {
-    let (mut near, mut far, mut agents) = <(Reported, Reported, Reported)>::default();
+    let (mut near, mut far) = <(Reported, Reported)>::default();
+    let (mut near_agents, mut far_agents) = <(Reported, Reported)>::default();
     let mut round = 0;
     let mut beat: Option<Instant> = None;
     loop {
@@ -213,7 +215,8 @@
                 ..load.clone()
             };
             // Both groups get the same round, so that they share the same places out.
-            let both = far.due(&load, REPORT_FAR, now);
+            let pause = spread::pause(REPORT_FAR, count(&slot, Role::Entry, false));
+            let both = far.due(&load, pause, now);
             send(&slot, Role::Entry, report, |own| own || both);
             near.send(&load, now);
             if both {
@@ -227,9 +230,12 @@
             closes_in_ms: 0,
             ..engine
         };
-        if agents.due(&holds, REPORT, now) {
-            agents.send(&holds, now);
-            send(&slot, Role::Agent, holds, |_| true);
+        for (reported, own) in [(&mut near_agents, true), (&mut far_agents, false)] {
+            let pause = spread::pause(REPORT, count(&slot, Role::Agent, own));
+            if reported.due(&holds, pause, now) {
+                reported.send(&holds, now);
+                send(&slot, Role::Agent, holds.clone(), |of| of == own);
+            }
         }
         if beat.is_none_or(|at| now >= at + BEAT) {
             beat = Some(now);
@@ -243,15 +249,24 @@
     }
 }
 
-/// Sends a report to the processes of a role in data centres of the own region or of others.
-fn send(slot: &Slot, role: Role, report: Engine, group: impl Fn(bool) -> bool) {
+/// Processes of a role that are known in the own region or in the others.
+fn count(slot: &Slot, role: Role, own: bool) -> usize {
+    to(slot, role, |of| of == own).len()
+}
+
+/// Addresses of the processes of a role; `group` takes the own region or the others.
+fn to(slot: &Slot, role: Role, group: impl Fn(bool) -> bool) -> Vec<Ipv4Addr> {
     let me = slot.socket.identity.address;
     let region = slot.region(&slot.settings.data_centre);
-    let to = lock(&slot.roster).addresses_in(role, me, |data_centre| {
+    lock(&slot.roster).addresses_in(role, me, |data_centre| {
         group(*slot.region(data_centre) == *region)
-    });
+    })
+}
+
+/// Sends a report to the processes of a role in data centres of the own region or of others.
+fn send(slot: &Slot, role: Role, report: Engine, group: impl Fn(bool) -> bool) {
     let packet = slot.socket.encode(Body::Engine(report));
-    for address in to {
+    for address in to(slot, role, group) {
         members::send(&slot.socket, &packet, address);
     }
 }
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -28,6 +28,16 @@
 /// Spread of these times over the hosts, so that not all of them take over at once.
 const STAGGER: Duration = Duration::from_millis(1_500);
 
+/// Reports that one host sends to a group of others in a second, counted over all of them. At this
+/// rate, reports of 200 bytes take a thirtieth of a link of 9.4 Mbit/s.
+const REPORTS: f64 = 200.0;
+
+/// Least time between two reports to a group of `hosts`, `shortest` for small ones. Reports that all
+/// hosts send to all others grow with the square of the fleet and would crowd out the pieces.
+pub fn pause(shortest: Duration, hosts: usize) -> Duration {
+    shortest.max(Duration::from_secs_f64(hosts as f64 / REPORTS))
+}
+
 /// What another host holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -5,7 +5,7 @@
         bundle::Piece,
         chunk::{Peer, Plan, Policy, Source, Step},
         id::Host,
-        spread::{Holder, Spread, TRANSFERS},
+        spread::{self, Holder, Spread, TRANSFERS},
     },
     proptest::prelude::*,
     rand::{SeedableRng, rngs::StdRng},
@@ -262,3 +262,14 @@
         prop_assert!(fleet.done());
     }
 }
+
+#[test]
+fn reports_of_a_large_fleet_leave_the_links_between_regions_to_the_pieces() {
+    // 25 hosts in each of three regions, 30 Mbit/s between two regions, reports of 200 bytes.
+    let (near, far, bytes) = (25.0, 25, 200.0);
+    let pause = spread::pause(Duration::from_millis(60), far * 2).as_secs_f64();
+    let link = near * far as f64 * bytes * 8.0 / pause;
+    assert!(link <= 30e6 * 0.2, "{link} bit/s of reports");
+    let small = spread::pause(Duration::from_millis(60), 8);
+    assert_eq!(small, Duration::from_millis(60));
+}
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -198,20 +198,22 @@
     })
 }
 
-/// Sends heartbeats and ages tables until the task is aborted.
+/// Sends heartbeats and ages tables until the task is aborted. Agents of other regions get every
+/// second one, and all news: they only need to know whom to report to.
 pub async fn beats(site: Arc<Site>) {
+    let mut far = true;
     loop {
-        tick(&site);
+        tick(&site, far);
         let alone = lock(&site.roster).alone();
         let next = Instant::now() + if alone { ASK_ALONE } else { BEAT };
         tokio::select! {
-            () = time::sleep_until(next) => {}
-            () = site.news.notified() => {}
+            () = time::sleep_until(next) => far = !far,
+            () = site.news.notified() => far = true,
         }
     }
 }
 
-fn tick(site: &Site) {
+fn tick(site: &Site, far: bool) {
     let now = clock::now();
     let me = site.socket.identity.address;
     let mut roster = lock(&site.roster);
@@ -219,7 +221,10 @@
     members::ask(&site.socket, &mut roster);
     lock(&site.heard).retain(|host, _| roster.of(Role::Entry).any(|(other, _)| other == host));
     let mut to = roster.addresses(Role::Entry, me);
-    to.extend(roster.addresses(Role::Agent, me));
+    let region = |data_centre: &str| site.settings.regions.get(data_centre);
+    to.extend(roster.addresses_in(Role::Agent, me, |data_centre| {
+        far || region(data_centre).is_some_and(|region| *region == site.region)
+    }));
     drop(roster);
     let packet = site.socket.encode(beat(site));
     for address in to {
