An older version is fetched again while the newest does not come; uploads refuse long queues

All agents had given version 2 up at 20 s, with all its pieces held somewhere in the fleet, so from 24.6 s on, 1.4 s before its bound, no engine might serve: 5 s of refusals. A trial run with a line for each piece showed it (failed asks of 2 ms). Change: core::pursuit says whether the newest version comes, by pieces held anywhere; if not, the older fetch runs again, and the engine's next version stays the older one until all pieces of the newest are held by someone.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -7,6 +7,7 @@
     },
     jayspread_core::{
         load::{Action, Event, Loader, Machine, Report, Want},
+        pursuit::Pursuit,
         swap::Turn,
         target::Named,
     },
@@ -38,10 +39,6 @@
 /// the engines that load it spread the load of both versions over time.
 const WORTH_FINISHING: f64 = 0.6;
 
-/// Share of a newer version's pieces from which it counts as coming; an origin that is away sends
-/// none.
-const COMES: f64 = 0.3;
-
 /// State of the loop.
 pub struct Control {
     slot: Arc<Slot>,
@@ -51,6 +48,9 @@
     want: Option<Named>,
     /// The version whose pieces are fetched.
     job: Option<(u64, JoinHandle<()>)>,
+    /// The fetch of an older version that is taken up again, as the newest one does not come.
+    revived: Option<(u64, JoinHandle<()>)>,
+    pursuit: Pursuit,
     /// Version whose pieces are staged and checked.
     staged: Option<u64>,
     /// An order that the machine wants sent.
@@ -69,6 +69,8 @@
             loader: Loader::new(Machine::new(false, SETTLE)),
             want: None,
             job: None,
+            revived: None,
+            pursuit: Pursuit::default(),
             staged: None,
             ordered: None,
             failures: 0,
@@ -168,6 +170,7 @@
             return;
         };
         self.fetch(newest);
+        self.revive(newest);
         if !self.yields_to(newest) {
             return;
         }
@@ -193,14 +196,54 @@
             return false;
         }
         let serves = lock(&self.slot.seen).version();
-        let fetching = self
-            .job
-            .as_ref()
-            .is_some_and(|(of, task)| *of == want.version && !task.is_finished());
-        let held = fetching || lock(&self.slot.pieces).complete(want.version);
-        let comes = lock(&self.slot.pieces).share(newest.version) >= COMES;
+        if serves >= want.version {
+            return true;
+        }
+        let (held, count) = self.slot.held(newest.version);
+        if count == 0 || held < count {
+            return false;
+        }
+        let complete = lock(&self.slot.pieces).complete(want.version);
         let skips = || self.turn(want, serves, |turn| turn.skips(newest));
-        serves >= want.version || !held || comes && skips()
+        !complete && !self.fetches(want.version) || skips()
+    }
+
+    fn fetches(&self, version: u64) -> bool {
+        let jobs = self.job.iter().chain(&self.revived);
+        jobs.into_iter()
+            .any(|(of, task)| *of == version && !task.is_finished())
+    }
+
+    /// Takes the fetch of an older version up again while the newest one does not come.
+    fn revive(&mut self, newest: Named) {
+        let wanted = self.want.map(|w| w.version);
+        if let Some((_, task)) = self.revived.take_if(|(of, _)| Some(*of) != wanted) {
+            task.abort();
+        }
+        let Some(want) = self.want.filter(|w| w.version < newest.version) else {
+            return;
+        };
+        let version = want.version;
+        if lock(&self.slot.seen).version() >= version {
+            return;
+        }
+        let (held, count) = self.slot.held(newest.version);
+        let comes = self.pursuit.comes(newest, held, count, clock::now());
+        let complete = lock(&self.slot.pieces).complete(version);
+        if comes || complete || self.fetches(version) {
+            return;
+        }
+        event!(
+            Info,
+            "fetching_again",
+            version = version,
+            newest = newest.version,
+            held = held
+        );
+        let task = tokio::spawn(fetch::run(Arc::clone(&self.slot), version, want.since));
+        if let Some((_, task)) = self.revived.replace((version, task)) {
+            task.abort();
+        }
     }
 
     /// Asks for the turn at loading a version.
--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -4,7 +4,7 @@
     crate::{
         shared::lock,
         slot::{
-            serve,
+            serve::{self, Given},
             tables::{Slot, Source as Weights},
         },
     },
@@ -32,6 +32,8 @@
 const TRANSFER: Duration = Duration::from_millis(2_000);
 /// Pause before a manifest is asked for again, and before a failed source is asked again.
 const ROUND: Duration = Duration::from_millis(150);
+/// Pause before another host is asked when one has too many waiting.
+const BUSY: Duration = Duration::from_millis(30);
 /// Longest time without looking at what is due.
 const LOOK: Duration = Duration::from_millis(200);
 /// Interval of planning anew over the agents that are known by then.
@@ -196,12 +198,14 @@
 
     /// Carries one ask out and returns the index of its piece.
     async fn obtain(&self, ask: Ask) -> usize {
-        let bytes = match &ask.source {
+        let given = match &ask.source {
             Source::Origin => self.ask_origin(ask.index).await,
             Source::Peer(host) => self.ask_peer(host, ask.index).await,
         };
-        if bytes.is_none() {
-            time::sleep(ROUND).await;
+        match given {
+            Given::Piece(_) => {}
+            Given::Busy => time::sleep(BUSY).await,
+            Given::Nothing => time::sleep(ROUND).await,
         }
         ask.index
     }
@@ -242,8 +246,11 @@
         pieces.get(self.manifest.version, index).is_some()
     }
 
-    async fn ask_origin(&self, index: usize) -> Option<Bytes> {
-        let mut client = origin::Client::new(self.weights.origin?);
+    async fn ask_origin(&self, index: usize) -> Given {
+        let Some(origin) = self.weights.origin else {
+            return Given::Nothing;
+        };
+        let mut client = origin::Client::new(origin);
         let (version, bytes) = (self.manifest.version, self.manifest.piece_bytes);
         let asked = client.piece(&self.weights.model, version, index, bytes, TRANSFER);
         match asked.await {
@@ -254,23 +261,25 @@
             Err(cause) => {
                 self.slot.metrics.fetch_failed.inc();
                 event!(Debug, "origin_failed", index = index, reason = cause);
-                None
+                Given::Nothing
             }
         }
     }
 
-    async fn ask_peer(&self, host: &str, index: usize) -> Option<Bytes> {
+    async fn ask_peer(&self, host: &str, index: usize) -> Given {
         let agents = self.slot.agents();
-        let (address, _) = agents.get(host)?;
+        let Some((address, _)) = agents.get(host) else {
+            return Given::Nothing;
+        };
         let peer = SocketAddr::new(IpAddr::V4(*address), self.slot.settings.port);
         let (version, bytes) = (self.manifest.version, self.manifest.piece_bytes);
         let asked = serve::ask_piece(peer, version, index, TRANSFER, bytes);
         match asked.await {
-            Ok(piece) => {
-                let piece = piece?;
+            Ok(Given::Piece(piece)) => {
                 self.slot.metrics.peer_bytes.inc_by(piece.len() as u64);
                 self.check(piece, index, host)
             }
+            Ok(given) => given,
             Err(cause) => {
                 self.slot.metrics.fetch_failed.inc();
                 event!(
@@ -280,18 +289,18 @@
                     index = index,
                     reason = cause
                 );
-                None
+                Given::Nothing
             }
         }
     }
 
     /// Keeps a piece if its digest is right.
-    fn check(&self, piece: Bytes, index: usize, from: &str) -> Option<Bytes> {
+    fn check(&self, piece: Bytes, index: usize, from: &str) -> Given {
         if self.keep(index, &piece) {
-            return Some(piece);
+            return Given::Piece(piece);
         }
         self.slot.metrics.corrupt.inc();
         event!(Warn, "piece_corrupt", source = from, index = index);
-        None
+        Given::Nothing
     }
 }
--- a/crates/agent/src/slot/pieces.rs
+++ b/crates/agent/src/slot/pieces.rs
@@ -84,6 +84,14 @@
             })
     }
 
+    /// Indices of a version's pieces that are in memory.
+    pub fn indices(&self, version: u64) -> Vec<usize> {
+        let pieces = self.versions.get(&version).into_iter();
+        let pieces = pieces.flat_map(|held| held.pieces.iter().enumerate());
+        let present = pieces.filter(|(_, piece)| piece.is_some());
+        present.map(|(index, _)| index).collect()
+    }
+
     /// Share of a version's pieces that is in memory.
     pub fn share(&self, version: u64) -> f64 {
         let Some(held) = self.versions.get(&version) else {
--- a/crates/agent/src/slot/serve.rs
+++ b/crates/agent/src/slot/serve.rs
@@ -13,7 +13,7 @@
     bytes::Bytes,
     futures_util::stream,
     hex::ToHex,
-    jayspread_core::id::ChunkHash,
+    jayspread_core::{id::ChunkHash, spread::QUEUED},
     jayspread_net::{
         client::{Client, Request},
         event,
@@ -58,6 +58,8 @@
 struct Server {
     slot: Arc<Slot>,
     turn: Arc<Semaphore>,
+    /// Transfers that may wait or run.
+    queue: Arc<Semaphore>,
     /// Pause behind each part.
     pause: Duration,
 }
@@ -68,6 +70,7 @@
     let server = Arc::new(Server {
         slot: Arc::clone(&slot),
         turn: Arc::new(Semaphore::new(1)),
+        queue: Arc::new(Semaphore::new(QUEUED + 1)),
         pause: Duration::from_secs_f64(PART as f64 / rate.max(1.0)),
     });
     Router::new()
@@ -79,12 +82,15 @@
     let Some(bytes) = find(&server.slot, &wanted).await else {
         return StatusCode::NOT_FOUND.into_response();
     };
+    let Ok(place) = Arc::clone(&server.queue).try_acquire_owned() else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
     let Ok(turn) = Arc::clone(&server.turn).acquire_owned().await else {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     };
     server.slot.metrics.sent_bytes.inc_by(bytes.len() as u64);
     let length = bytes.len();
-    let paced = stream::unfold((bytes, turn), move |(mut left, turn)| {
+    let paced = stream::unfold((bytes, (turn, place)), move |(mut left, turn)| {
         let pause = server.pause;
         async move {
             if left.is_empty() {
@@ -158,21 +164,36 @@
     }
 }
 
-/// Asks another agent for a piece; nothing when it has none.
+/// What another agent gives that was asked for a piece.
+#[derive(Debug)]
+pub enum Given {
+    /// The piece.
+    Piece(Bytes),
+    /// Too many wait there.
+    Busy,
+    /// It has none.
+    Nothing,
+}
+
+/// Asks another agent for a piece.
 pub async fn ask_piece(
     peer: SocketAddr,
     version: u64,
     index: usize,
     limit: Duration,
     bytes: u32,
-) -> Result<Option<Bytes>, Box<str>> {
+) -> Result<Given, Box<str>> {
     let path = format!("/piece?version={version}&index={index}");
     let mut client = Client::new(peer, CONNECT);
     let (head, body) = client
         .call(Request::get(&path), limit, bytes as usize)
         .await
         .map_err(|cause| cause.to_string())?;
-    Ok(head.status.is_success().then_some(body))
+    Ok(match head.status {
+        StatusCode::OK => Given::Piece(body),
+        StatusCode::SERVICE_UNAVAILABLE => Given::Busy,
+        _ => Given::Nothing,
+    })
 }
 
 /// Asks another agent for a manifest; nothing when it has none.
--- a/crates/agent/src/slot/tables.rs
+++ b/crates/agent/src/slot/tables.rs
@@ -180,6 +180,24 @@
         holders
     }
 
+    /// How many of a version's pieces this agent or another one that is heard from holds, and how
+    /// many there are; 0 while the manifest is not known.
+    pub fn held(&self, version: u64) -> (usize, usize) {
+        let manifest = lock(&self.pieces).manifest(version);
+        let Some(count) = manifest.map(|m| m.digests.len()) else {
+            return (0, 0);
+        };
+        let own = lock(&self.pieces).indices(version);
+        let mut held: BTreeSet<usize> = own.into_iter().collect();
+        for holder in self.holders(version, count).into_values() {
+            if held.len() >= count {
+                break;
+            }
+            held.extend(holder.pieces);
+        }
+        (held.len(), count)
+    }
+
     /// Region of a data centre.
     pub fn region(&self, data_centre: &str) -> Box<str> {
         let region = self.settings.regions.get(data_centre);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod load;
 pub mod member;
 pub mod place;
+pub mod pursuit;
 pub mod ramp;
 pub mod reader;
 pub mod retry;
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -19,6 +19,9 @@
 
 /// Transfers of one host at once.
 pub const TRANSFERS: usize = 3;
+/// Transfers that wait at one host behind the running one; who asks for more is sent to others at
+/// once. When a version begins to spread, all hosts ask its first holders.
+pub const QUEUED: usize = 4;
 /// Transfers from the origin of one host at once.
 const FROM_ORIGIN: usize = 1;
 /// Time after which a piece that no host near holds is fetched from another region.
