One loop receives datagrams for entry hosts and agents

The two programs of the platform had the same loop twice: decode, count what is malformed, pause after an error. It is Socket::listen now, beside the decoding that it calls; who listens says what a packet means.

--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -13,7 +13,6 @@
     jayspread_schema::peer::{Engine, Entry, Packet, Role, Spread, Target, packet::Body},
     std::{
         collections::BTreeSet,
-        io,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::Arc,
         time::{Duration, Instant},
@@ -25,25 +24,12 @@
 const REPORT: Duration = Duration::from_millis(60);
 /// The same to entry hosts of other regions, which send here only what their own cannot take.
 const REPORT_FAR: Duration = Duration::from_millis(170);
-/// Pause after a failed receive, so that a broken socket does not spin.
-const PAUSE: Duration = Duration::from_millis(50);
-
 /// Receives until the task is aborted.
 pub async fn receive(slot: Arc<Slot>) {
-    let mut buffer = Vec::new();
-    loop {
-        match slot.socket.receive(&mut buffer).await {
-            Ok(packet) => hear(&slot, packet),
-            Err(cause) if cause.kind() == io::ErrorKind::InvalidData => {
-                slot.metrics.nonsense.inc();
-                event!(Warn, "datagram_malformed", reason = cause);
-            }
-            Err(cause) => {
-                event!(Warn, "receive_failed", reason = cause);
-                time::sleep(PAUSE).await;
-            }
-        }
-    }
+    let nonsense = &slot.metrics.nonsense;
+    slot.socket
+        .listen(nonsense, |packet| hear(&slot, packet))
+        .await;
 }
 
 fn hear(slot: &Slot, packet: Packet) {
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -17,7 +17,6 @@
     jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
     std::{
         collections::BTreeSet,
-        io,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -25,25 +24,12 @@
     tokio::time::{self, Instant},
 };
 
-/// Pause after a failed receive, so that a broken socket does not spin.
-const PAUSE: Duration = Duration::from_millis(50);
-
 /// Receives until the task is aborted.
 pub async fn receive(site: Arc<Site>) {
-    let mut buffer = Vec::new();
-    loop {
-        match site.socket.receive(&mut buffer).await {
-            Ok(packet) => hear(&site, packet),
-            Err(cause) if cause.kind() == io::ErrorKind::InvalidData => {
-                site.metrics.nonsense.inc();
-                event!(Warn, "datagram_malformed", reason = cause);
-            }
-            Err(cause) => {
-                event!(Warn, "receive_failed", reason = cause);
-                time::sleep(PAUSE).await;
-            }
-        }
-    }
+    let nonsense = &site.metrics.nonsense;
+    site.socket
+        .listen(nonsense, |packet| hear(&site, packet))
+        .await;
 }
 
 fn hear(site: &Arc<Site>, packet: Packet) {
--- a/crates/net/src/datagram.rs
+++ b/crates/net/src/datagram.rs
@@ -1,19 +1,25 @@
 //! Datagrams between processes of one site.
 
 use {
+    crate::event,
     jayspread_schema::peer::{Member, Packet, Role, packet::Body},
+    prometheus_client::metrics::counter::Counter,
     prost::Message,
     std::{
         io,
         net::{Ipv4Addr, SocketAddr, SocketAddrV4},
         sync::atomic::{AtomicBool, AtomicU64, Ordering},
+        time::Duration,
     },
-    tokio::net::UdpSocket,
+    tokio::{net::UdpSocket, time},
 };
 
 /// Largest datagram taken, bytes; a member list of a few hundred hosts fits.
 const SIZE_MAX: usize = 60_000;
 
+/// Pause after a failed receive, so that a broken socket does not spin.
+const PAUSE: Duration = Duration::from_millis(50);
+
 /// Who sends.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -94,8 +100,27 @@
         }
     }
 
+    /// Receives until the task is aborted and hands each packet to `hear`; `nonsense` counts those
+    /// that cannot be decoded.
+    pub async fn listen(&self, nonsense: &Counter, mut hear: impl FnMut(Packet)) {
+        let mut buffer = Vec::new();
+        loop {
+            match self.receive(&mut buffer).await {
+                Ok(packet) => hear(packet),
+                Err(cause) if cause.kind() == io::ErrorKind::InvalidData => {
+                    nonsense.inc();
+                    event!(Warn, "datagram_malformed", reason = cause);
+                }
+                Err(cause) => {
+                    event!(Warn, "receive_failed", reason = cause);
+                    time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
     /// Receives the next packet; `Err(InvalidData)` for one that cannot be decoded.
-    pub async fn receive(&self, buffer: &mut Vec<u8>) -> io::Result<Packet> {
+    async fn receive(&self, buffer: &mut Vec<u8>) -> io::Result<Packet> {
         buffer.resize(SIZE_MAX, 0);
         let (length, _) = self.socket.recv_from(buffer).await?;
         Packet::decode(&buffer[..length])
