One lookup of a data centre's region; receivers of a report are worked out once

Six places looked regions up in the settings, with three answers for a data centre that is not listed (settings reject such a file for the own one). Settings::region serves them all, without a copy of the name. The agents' report loop listed the receivers of each group twice, once to count and once to send, 16 times a second; it lists them once now. No change of behaviour for listed data centres; figures were not measured.

--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -134,7 +134,7 @@
         let peer = |host: &str, data_centre: &str| Peer {
             host: host.into(),
             data_centre: data_centre.into(),
-            region: self.slot.region(data_centre),
+            region: settings.region(data_centre).into(),
         };
         let me = peer(&settings.host, &settings.data_centre);
         let agents = self.slot.agents();
@@ -147,8 +147,8 @@
                 hash: self.manifest.digests[place],
             })
             .collect();
-        let origin = self.slot.region(&self.weights.data_centre);
-        let steps = Plan::new(Policy::Once, &me, &peers, &pieces, &origin).steps;
+        let origin = settings.region(&self.weights.data_centre);
+        let steps = Plan::new(Policy::Once, &me, &peers, &pieces, origin).steps;
         // The plan has each digest once; equal pieces share its step.
         let by_digest: BTreeMap<_, &Step> = steps.iter().map(|step| (step.hash, step)).collect();
         let digests = self.manifest.digests.iter();
@@ -159,8 +159,8 @@
     async fn spread(self: &Arc<Self>, since: Instant) {
         let settings = &self.slot.settings;
         let patience = rand::random();
-        let region = self.slot.region(&settings.data_centre);
-        let mut spread = Spread::new(&settings.data_centre, &region, &self.plan(), patience);
+        let region = settings.region(&settings.data_centre);
+        let mut spread = Spread::new(&settings.data_centre, region, &self.plan(), patience);
         let mut planned = clock::now();
         let mut asks = JoinSet::new();
         let count = self.manifest.digests.len();
--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -201,13 +201,14 @@
                 ..load.clone()
             };
             // Both groups get the same round, so that they share the same places out.
-            let pause = spread::pause(REPORT_FAR, count(&slot, Role::Entry, false));
-            let both = far.due(&load, pause, now);
-            send(&slot, Role::Entry, report, |own| own || both);
+            let mut to = receivers(&slot, Role::Entry, true);
             near.send(&load, now);
-            if both {
+            let others = receivers(&slot, Role::Entry, false);
+            if far.due(&load, spread::pause(REPORT_FAR, others.len()), now) {
+                to.extend(others);
                 far.send(&load, now);
             }
+            send(&slot, report, &to);
         }
         let holds = Engine {
             running: 0,
@@ -217,10 +218,10 @@
             ..engine
         };
         for (reported, own) in [(&mut near_agents, true), (&mut far_agents, false)] {
-            let pause = spread::pause(REPORT, count(&slot, Role::Agent, own));
-            if reported.due(&holds, pause, now) {
+            let to = receivers(&slot, Role::Agent, own);
+            if reported.due(&holds, spread::pause(REPORT, to.len()), now) {
                 reported.send(&holds, now);
-                send(&slot, Role::Agent, holds.clone(), |of| of == own);
+                send(&slot, holds.clone(), &to);
             }
         }
         if beat.is_none_or(|at| now >= at + BEAT) {
@@ -235,24 +236,20 @@
     }
 }
 
-/// Processes of a role that are known in the own region or in the others.
-fn count(slot: &Slot, role: Role, own: bool) -> usize {
-    to(slot, role, |of| of == own).len()
-}
-
-/// Addresses of the processes of a role; `group` takes the own region or the others.
-fn to(slot: &Slot, role: Role, group: impl Fn(bool) -> bool) -> Vec<Ipv4Addr> {
+/// Addresses of the processes of a role that are known in the own region or in the others.
+fn receivers(slot: &Slot, role: Role, own: bool) -> Vec<Ipv4Addr> {
     let me = slot.socket.identity.address;
-    let region = slot.region(&slot.settings.data_centre);
+    let settings = &slot.settings;
+    let region = settings.region(&settings.data_centre);
     lock(&slot.roster).addresses_in(role, me, |data_centre| {
-        group(*slot.region(data_centre) == *region)
+        (settings.region(data_centre) == region) == own
     })
 }
 
-/// Sends a report to the processes of a role in data centres of the own region or of others.
-fn send(slot: &Slot, role: Role, report: Engine, group: impl Fn(bool) -> bool) {
+/// Sends a report.
+fn send(slot: &Slot, report: Engine, to: &[Ipv4Addr]) {
     let packet = slot.socket.encode(Body::Engine(report));
-    for address in to(slot, role, group) {
-        members::send(&slot.socket, &packet, address);
+    for address in to {
+        members::send(&slot.socket, &packet, *address);
     }
 }
--- a/crates/agent/src/slot/tables.rs
+++ b/crates/agent/src/slot/tables.rs
@@ -169,7 +169,7 @@
             } else {
                 continue;
             };
-            let region = self.region(&data_centre);
+            let region = self.settings.region(&data_centre).into();
             let holder = Holder {
                 data_centre,
                 region,
@@ -198,12 +198,6 @@
         (held.len(), count)
     }
 
-    /// Region of a data centre.
-    pub fn region(&self, data_centre: &str) -> Box<str> {
-        let region = self.settings.regions.get(data_centre);
-        region.cloned().unwrap_or_else(|| data_centre.into())
-    }
-
     /// Addresses and data centres of the other agents that are heard from or that others name.
     pub fn agents(&self) -> BTreeMap<Host, (Ipv4Addr, DataCentre)> {
         let roster = lock(&self.roster);
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -88,17 +88,16 @@
 /// This host's turn at an engine in that data centre. Hosts of its region go first, and with them
 /// those whose own region has no engine of the service.
 fn turn(site: &Site, data_centre: &str, homes: &BTreeSet<Region>, round: u64) -> Turn {
-    let regions = &site.settings.regions;
-    let region = |data_centre: &str| regions.get(data_centre).map(|r| &**r);
-    let there = region(data_centre);
+    let settings = &site.settings;
+    let there = settings.region(data_centre);
     let belongs = |from: &str| {
-        let from = region(from);
-        from == there || from.is_none_or(|from| !homes.contains(from))
+        let from = settings.region(from);
+        from == there || !homes.contains(from)
     };
-    let near = belongs(&site.settings.data_centre);
+    let near = belongs(&settings.data_centre);
     let roster = lock(&site.roster);
     let group = |from: &str| belongs(from) == near;
-    let (index, of) = roster.place(&site.settings.host, Role::Entry, group);
+    let (index, of) = roster.place(&settings.host, Role::Entry, group);
     let served = roster
         .of(Role::Entry)
         .any(|(_, contact)| belongs(&contact.data_centre));
@@ -207,9 +206,8 @@
     members::ask(&site.socket, &mut roster);
     lock(&site.heard).retain(|host, _| roster.of(Role::Entry).any(|(other, _)| other == host));
     let mut to = roster.addresses(Role::Entry, me);
-    let region = |data_centre: &str| site.settings.regions.get(data_centre);
     to.extend(roster.addresses_in(Role::Agent, me, |data_centre| {
-        far || region(data_centre).is_some_and(|region| *region == site.region)
+        far || site.settings.region(data_centre) == &*site.region
     }));
     drop(roster);
     let packet = site.socket.encode(beat(site));
--- a/crates/entry/src/front/site.rs
+++ b/crates/entry/src/front/site.rs
@@ -158,9 +158,8 @@
     pub fn new(settings: Settings, socket: Socket, dropped: ErrorCounter) -> Arc<Self> {
         let now = clock::now();
         let seeds = settings.seeds.clone();
-        let region = settings.regions.get(&settings.data_centre);
         Arc::new(Self {
-            region: region.unwrap_or(&settings.data_centre).clone(),
+            region: settings.region(&settings.data_centre).into(),
             socket,
             mirrors: Mutex::default(),
             catalog: Mutex::default(),
@@ -214,13 +213,11 @@
 
     /// Other entry hosts of this host's region that are heard from.
     pub fn near(&self) -> Vec<(Host, Peer)> {
-        let regions = &self.settings.regions;
-        let region = |data_centre: &str| regions.get(data_centre).map_or("", |r| &**r);
         let roster = lock(&self.roster);
         let heard = lock(&self.heard);
         roster
             .of(Role::Entry)
-            .filter(|(_, contact)| region(&contact.data_centre) == &*self.region)
+            .filter(|(_, contact)| self.settings.region(&contact.data_centre) == &*self.region)
             .filter_map(|(host, _)| Some((host.clone(), *heard.get(host)?)))
             .collect()
     }
