Reports, the turn at reading the store and evacuations do less work

For each agent's report an entry host took the table of engines twice and copied the names of all home regions; it takes it once and borrows them. Whether this host reads the store was worked out from a copied list of peers, every 25 ms for each topic on hosts that do not; it goes over the members without copies. Heard peers are dropped by one lookup each instead of a search. An evacuation decoded all records of the operator, the whole configuration included; the keys alone say which data centres are out (record::evacuated). No change of behaviour; figures were not measured. The test of homes converts the borrowed names and expects what it expected.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -220,15 +220,14 @@
     }
 
     /// Regions in which an engine of a service may get work.
-    pub fn homes(&self, service: &str) -> BTreeSet<Region> {
+    pub fn homes(&self, service: &str) -> BTreeSet<&str> {
         let open = |slot: &&Slot| {
             let listing = &slot.engine.listing;
             let out = listing.draining || self.evacuated.contains(&listing.data_centre);
             *listing.service == *service && !out
         };
         let open = self.slots.values().filter(open);
-        open.map(|slot| slot.engine.listing.region.clone())
-            .collect()
+        open.map(|slot| &*slot.engine.listing.region).collect()
     }
 
     /// Service of the engine that is listed at an address.
--- a/crates/core/tests/patterns.rs
+++ b/crates/core/tests/patterns.rs
@@ -206,7 +206,10 @@
 #[test]
 fn a_region_is_no_home_while_its_engines_get_no_work() {
     let mut f = Fixture::new(&[("a", "r1"), ("b", "r2")]);
-    let homes = |f: &Fixture| f.table.homes("s").into_iter().collect::<Vec<_>>();
+    let homes = |f: &Fixture| {
+        let homes = f.table.homes("s").into_iter().map(Box::<str>::from);
+        homes.collect::<Vec<_>>()
+    };
     assert_eq!(homes(&f), vec![Box::from("r1"), Box::from("r2")]);
     f.table.evacuate(BTreeSet::from(["r1-a".into()]));
     assert_eq!(homes(&f), vec![Box::from("r2")]);
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -6,8 +6,8 @@
         shared::lock,
     },
     jayspread_core::{
+        catalog::Catalog,
         engine::{self, Load, Report, Turn},
-        id::Region,
         place::Table,
     },
     jayspread_net::{
@@ -87,7 +87,7 @@
 
 /// This host's turn at an engine in that data centre. Hosts of its region go first, and with them
 /// those whose own region has no engine of the service.
-fn turn(site: &Site, data_centre: &str, homes: &BTreeSet<Region>, round: u64) -> Turn {
+fn turn(site: &Site, data_centre: &str, homes: &BTreeSet<&str>, round: u64) -> Turn {
     let settings = &site.settings;
     let there = settings.region(data_centre);
     let belongs = |from: &str| {
@@ -110,9 +110,11 @@
 
 /// Requests that the engine at an address can begin at once, and regions where others of its service
 /// may get work.
-fn service(site: &Site, address: SocketAddr) -> (u32, BTreeSet<Region>) {
-    let catalog = site.catalog();
-    let table = lock(&site.table);
+fn service<'a>(
+    catalog: Option<&Catalog>,
+    table: &'a Table,
+    address: SocketAddr,
+) -> (u32, BTreeSet<&'a str>) {
     let (Some(catalog), Some(name)) = (catalog, table.service(address)) else {
         return (1, BTreeSet::new());
     };
@@ -127,9 +129,12 @@
     );
     let now = clock::now();
     let closes = Duration::from_millis(engine.closes_in_ms);
-    let (intake, homes) = service(site, address);
+    let catalog = site.catalog();
+    let mut table = lock(&site.table);
+    let (intake, homes) = service(catalog.as_deref(), &table, address);
+    let turn = turn(site, data_centre, &homes, engine.round);
     let report = Report {
-        turn: turn(site, data_centre, &homes, engine.round),
+        turn,
         answers: engine.answers,
         load: Load {
             running: engine.running,
@@ -141,7 +146,7 @@
         closes: (!closes.is_zero()).then(|| now + closes),
         intake,
     };
-    lock(&site.table).hear(address, engine.born_ms, report, now);
+    table.hear(address, engine.born_ms, report, now);
 }
 
 /// What this host says about itself.
@@ -204,7 +209,7 @@
     let mut roster = lock(&site.roster);
     roster.tick(now);
     members::ask(&site.socket, &mut roster);
-    lock(&site.heard).retain(|host, _| roster.of(Role::Entry).any(|(other, _)| other == host));
+    lock(&site.heard).retain(|host, _| roster.usable(host));
     let mut to = roster.addresses(Role::Entry, me);
     to.extend(roster.addresses_in(Role::Agent, me, |data_centre| {
         far || site.settings.region(data_centre) == &*site.region
--- a/crates/entry/src/front/peers.rs
+++ b/crates/entry/src/front/peers.rs
@@ -24,7 +24,7 @@
     jayspread_platform::store::{Batch, Record, Topic},
     jayspread_schema::peer::{Records, Topic as Wire},
     prost::Message,
-    rand::seq::IndexedRandom,
+    rand::seq::IteratorRandom,
     serde::Deserialize,
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -114,8 +114,7 @@
 
     /// Whether a peer has seen more of the store than this host.
     pub fn lacks(&self, seen: Ends) -> bool {
-        let own = self.ends();
-        own.operator < seen.operator || own.engines < seen.engines
+        self.ends().lack(seen)
     }
 
     /// Asks a peer for what it has seen. A host that reads the store itself waits first whether the
@@ -152,10 +151,11 @@
     /// A host of this region that has seen more of the store; one of several at random, so that no
     /// one of them serves all others.
     pub fn near_ahead(&self) -> Option<Ipv4Addr> {
-        let mut ahead = self.near();
-        ahead.retain(|(_, peer)| self.lacks(peer.ends));
-        let (_, peer) = ahead.choose(&mut rand::rng())?;
-        Some(peer.address)
+        let own = self.ends();
+        self.near(|near| {
+            let ahead = near.filter(|(_, peer)| own.lack(peer.ends));
+            ahead.map(|(_, peer)| peer.address).choose(&mut rand::rng())
+        })
     }
 }
 
--- a/crates/entry/src/front/site.rs
+++ b/crates/entry/src/front/site.rs
@@ -72,6 +72,11 @@
 }
 
 impl Ends {
+    /// Whether others reach further.
+    pub fn lack(self, others: Self) -> bool {
+        self.operator < others.operator || self.engines < others.engines
+    }
+
     /// End in one topic.
     pub fn of(self, topic: Topic) -> u64 {
         match topic {
@@ -211,25 +216,25 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// Other entry hosts of this host's region that are heard from.
-    pub fn near(&self) -> Vec<(Host, Peer)> {
+    /// Uses the other entry hosts of this host's region that are heard from.
+    pub fn near<T>(&self, using: impl FnOnce(&mut dyn Iterator<Item = (&Host, &Peer)>) -> T) -> T {
         let roster = lock(&self.roster);
         let heard = lock(&self.heard);
-        roster
-            .of(Role::Entry)
-            .filter(|(_, contact)| self.settings.region(&contact.data_centre) == &*self.region)
-            .filter_map(|(host, _)| Some((host.clone(), *heard.get(host)?)))
-            .collect()
+        let entries = roster.of(Role::Entry);
+        let near = entries
+            .filter(|(_, contact)| self.settings.region(&contact.data_centre) == &*self.region);
+        using(&mut near.filter_map(|(host, _)| Some((host, heard.get(host)?))))
     }
 
     /// Whether this host reads the store, rather than taking the records from others of its region.
     pub fn reads_store(&self) -> bool {
-        let near = self.near();
-        let others = near.iter().map(|(host, peer)| reader::Other {
-            host,
-            lost: peer.store_lost,
-        });
-        reader::reads(&self.settings.host, others)
+        self.near(|near| {
+            let others = near.map(|(host, peer)| reader::Other {
+                host,
+                lost: peer.store_lost,
+            });
+            reader::reads(&self.settings.host, others)
+        })
     }
 
     /// Entry hosts that share limits, this one included.
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -313,15 +313,10 @@
 /// Takes the evacuated data centres over from all records.
 fn evacuate(site: &Site) {
     let mirrors = lock(&site.mirrors);
-    let orders = mirrors
-        .operator
-        .values()
-        .filter_map(|(key, value)| record::order(key, Some(value)).ok());
-    let evacuated: BTreeSet<_> = orders
-        .filter_map(|order| match order {
-            Order::Evacuate { data_centre, .. } => Some(data_centre),
-            _ => None,
-        })
+    let present = mirrors.operator.values();
+    let evacuated: BTreeSet<_> = present
+        .filter_map(|(key, _)| record::evacuated(key))
+        .map(Into::into)
         .collect();
     lock(&site.table).evacuate(evacuated);
 }
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -146,6 +146,11 @@
         entries.get(index).copied().into_iter().collect()
     }
 
+    /// Whether a member is heard from and not leaving.
+    pub fn usable(&self, host: &str) -> bool {
+        self.health.usable(host)
+    }
+
     /// Members of a role that are heard from and not leaving.
     pub fn of(&self, role: Role) -> impl Iterator<Item = (&Box<str>, &Contact)> {
         self.contacts
