Agents count the fleet's pieces once a look, and one place says which pieces are held

Control worked out twice in each pass, for two decisions, how many of the newest version's pieces the fleet holds; both are taken from one count now, and the fetch that was taken up again ends where the version wanted changes.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -170,10 +170,12 @@
             return;
         };
         self.fetch(newest);
-        self.revive(newest);
-        if !self.yields_to(newest) {
+        if self.want.is_some_and(|want| !self.yields(want, newest)) {
             return;
         }
+        if let Some((_, task)) = self.revived.take() {
+            task.abort();
+        }
         self.want = Some(newest);
         self.staged = None;
         let version: Box<str> = newest.version.to_string().into();
@@ -187,11 +189,8 @@
         self.handle(&Event::Want(want));
     }
 
-    /// Whether the version wanted so far gives way to a newer one.
-    fn yields_to(&self, newest: Named) -> bool {
-        let Some(want) = self.want else {
-            return true;
-        };
+    /// Whether the version wanted so far gives way to the newest one, which is pursued meanwhile.
+    fn yields(&mut self, want: Named, newest: Named) -> bool {
         if newest.version <= want.version {
             return false;
         }
@@ -200,10 +199,14 @@
             return true;
         }
         let (held, count) = self.slot.held(newest.version);
+        let complete = lock(&self.slot.pieces).complete(want.version);
+        let comes = self.pursuit.comes(newest, held, count, clock::now());
+        if !comes && !complete && !self.fetches(want.version) {
+            self.revive(want, newest, held);
+        }
         if count == 0 || held < count {
             return false;
         }
-        let complete = lock(&self.slot.pieces).complete(want.version);
         let skips = || self.turn(want, serves, |turn| turn.skips(newest));
         !complete && !self.fetches(want.version) || skips()
     }
@@ -214,36 +217,18 @@
             .any(|(of, task)| *of == version && !task.is_finished())
     }
 
-    /// Takes the fetch of an older version up again while the newest one does not come.
-    fn revive(&mut self, newest: Named) {
-        let wanted = self.want.map(|w| w.version);
-        if let Some((_, task)) = self.revived.take_if(|(of, _)| Some(*of) != wanted) {
-            task.abort();
-        }
-        let Some(want) = self.want.filter(|w| w.version < newest.version) else {
-            return;
-        };
-        let version = want.version;
-        if lock(&self.slot.seen).version() >= version {
-            return;
-        }
-        let (held, count) = self.slot.held(newest.version);
-        let comes = self.pursuit.comes(newest, held, count, clock::now());
-        let complete = lock(&self.slot.pieces).complete(version);
-        if comes || complete || self.fetches(version) {
-            return;
-        }
+    /// Takes the fetch of an older version up again.
+    fn revive(&mut self, want: Named, newest: Named, held: usize) {
         event!(
             Info,
             "fetching_again",
-            version = version,
+            version = want.version,
             newest = newest.version,
             held = held
         );
-        let task = tokio::spawn(fetch::run(Arc::clone(&self.slot), version, want.since));
-        if let Some((_, task)) = self.revived.replace((version, task)) {
-            task.abort();
-        }
+        let slot = Arc::clone(&self.slot);
+        let task = tokio::spawn(fetch::run(slot, want.version, want.since));
+        self.revived = Some((want.version, task));
     }
 
     /// Asks for the turn at loading a version.
--- a/crates/agent/src/slot/pieces.rs
+++ b/crates/agent/src/slot/pieces.rs
@@ -25,6 +25,14 @@
     released: bool,
 }
 
+impl Held {
+    /// Indices of the pieces that are in memory.
+    fn present(&self) -> impl Iterator<Item = usize> {
+        let pieces = self.pieces.iter().enumerate();
+        pieces.filter_map(|(index, piece)| piece.is_some().then_some(index))
+    }
+}
+
 /// All pieces held.
 #[derive(Debug, Default)]
 pub struct Pieces {
@@ -77,19 +85,13 @@
         self.versions
             .iter()
             .filter(|(_, held)| !held.released)
-            .map(|(version, held)| {
-                let pieces = held.pieces.iter().enumerate();
-                let present = pieces.filter(|(_, piece)| piece.is_some());
-                (*version, present.map(|(index, _)| index).collect())
-            })
+            .map(|(version, held)| (*version, held.present().collect()))
     }
 
     /// Indices of a version's pieces that are in memory.
     pub fn indices(&self, version: u64) -> Vec<usize> {
-        let pieces = self.versions.get(&version).into_iter();
-        let pieces = pieces.flat_map(|held| held.pieces.iter().enumerate());
-        let present = pieces.filter(|(_, piece)| piece.is_some());
-        present.map(|(index, _)| index).collect()
+        let held = self.versions.get(&version);
+        held.map_or_else(Vec::new, |held| held.present().collect())
     }
 
     /// Share of a version's pieces that is in memory.
@@ -97,8 +99,7 @@
         let Some(held) = self.versions.get(&version) else {
             return 0.0;
         };
-        let present = held.pieces.iter().filter(|piece| piece.is_some()).count();
-        present as f64 / held.pieces.len().max(1) as f64
+        held.present().count() as f64 / held.pieces.len().max(1) as f64
     }
 
     /// Whether all pieces of a version are in memory.
@@ -126,9 +127,7 @@
 
     /// Versions and how many of their pieces are in memory.
     pub fn iter(&self) -> impl Iterator<Item = (u64, usize)> {
-        self.versions.iter().map(|(version, held)| {
-            let count = held.pieces.iter().filter(|piece| piece.is_some()).count();
-            (*version, count)
-        })
+        let versions = self.versions.iter();
+        versions.map(|(version, held)| (*version, held.present().count()))
     }
 }
