--- a/crates/agent/src/slot/serve.rs
+++ b/crates/agent/src/slot/serve.rs
@@ -18,7 +18,10 @@
         client::{Client, Request},
         event,
     },
-    jayspread_platform::{engine, origin::Manifest},
+    jayspread_platform::{
+        engine,
+        origin::{self, Manifest},
+    },
     serde::{Deserialize, Serialize},
     std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::Semaphore, time},
@@ -208,16 +211,11 @@
         return Ok(None);
     }
     let passed: Passed = serde_json::from_slice(&body).map_err(|cause| cause.to_string())?;
-    let digests: Result<Vec<ChunkHash>, _> = passed.digests.iter().map(|d| decode(d)).collect();
+    let digests = passed.digests.iter().map(|text| origin::digest(text));
+    let digests: Result<Vec<ChunkHash>, _> = digests.collect();
     Ok(Some(Manifest {
         version: passed.version,
         piece_bytes: passed.piece_bytes,
-        digests: digests?,
+        digests: digests.map_err(|cause| cause.to_string())?,
     }))
 }
-
-fn decode(text: &str) -> Result<ChunkHash, Box<str>> {
-    let mut digest = ChunkHash::default();
-    hex::decode_to_slice(text, &mut digest).map_err(|cause| cause.to_string())?;
-    Ok(digest)
-}
