--- a/crates/fakes/examples/measure/control.rs
+++ b/crates/fakes/examples/measure/control.rs
@@ -6,10 +6,11 @@
     eyre::{Result, WrapErr, ensure},
     jayspread_entry::hosts::Line,
     jayspread_fakes::{
-        cluster::{free_tcp, free_udp, plain_runtime},
+        cluster::plain_runtime,
         engine::{Behaviour, Engine, Manifests},
         hosts::Hosts,
         log::Log,
+        port::{free_tcp, free_udp},
         server::any,
         store::Store,
     },
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -6,6 +6,7 @@
         engine::{Behaviour, Engine, Manifests},
         hosts::Hosts,
         log::Log,
+        port::{free_tcp, free_udp},
         server::{self, Server},
         shape::{Network, Shaped},
         store::Store,
@@ -24,11 +25,8 @@
     quinn::{Runtime, TokioRuntime},
     std::{
         collections::BTreeMap,
-        net::{SocketAddr, TcpListener, UdpSocket},
-        sync::{
-            Arc,
-            atomic::{AtomicU32, Ordering},
-        },
+        net::SocketAddr,
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{task::JoinSet, time},
@@ -138,33 +136,6 @@
     hosts_server: Server,
 }
 
-/// Ports below those that the system hands out by itself, so that none is taken meanwhile.
-const PORTS: std::ops::Range<u32> = 10_000..32_000;
-
-/// The next port on loopback that no one else uses, each one once in a process.
-fn next_port(free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
-    static TAKEN: AtomicU32 = AtomicU32::new(0);
-    let start = std::process::id().wrapping_mul(97);
-    loop {
-        let step = TAKEN.fetch_add(1, Ordering::Relaxed);
-        let port = PORTS.start + start.wrapping_add(step) % (PORTS.end - PORTS.start);
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if free(address) {
-            return address;
-        }
-    }
-}
-
-/// A free UDP port on loopback.
-pub fn free_udp() -> SocketAddr {
-    next_port(|address| UdpSocket::bind(address).is_ok())
-}
-
-/// A free TCP port on loopback.
-pub fn free_tcp() -> SocketAddr {
-    next_port(|address| TcpListener::bind(address).is_ok())
-}
-
 impl Cluster {
     /// Starts the platform's stand-ins and the entry hosts.
     pub async fn open(plan: Plan) -> Result<Self> {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod hosts;
 pub mod log;
+pub mod port;
 pub mod server;
 pub mod shape;
 pub mod store;
--- a/crates/fakes/tests/processes.rs
+++ b/crates/fakes/tests/processes.rs
@@ -5,10 +5,10 @@
     jayspread_entry::hosts::Line,
     jayspread_fakes::{
         caller::{Caller, Request},
-        cluster::{free_tcp, free_udp},
         engine::{Behaviour, Effect, Engine, Manifests, Prompt},
         hosts::Hosts,
         log::Log,
+        port::{free_tcp, free_udp},
         server::{Server, any},
         store::Store,
     },
