--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -1,9 +1,10 @@
 //! Pieces of a version spread over a fleet of hosts with slow links, without sockets.
 
+mod weights;
+
 use {
     jayspread_core::{
-        bundle::Piece,
-        chunk::{Peer, Plan, Policy, Source, Step},
+        chunk::{Peer, Source},
         id::Host,
         spread::{self, Holder, Spread, TRANSFERS},
     },
@@ -14,9 +15,9 @@
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
+    weights::{PIECES, peers, steps},
 };
 
-const PIECES: usize = 48;
 /// Time of one transfer over a host's link, steps of the model.
 const TRANSFER: u64 = 5;
 /// Time of one step.
@@ -24,40 +25,6 @@
 /// Transfers that the origin's link carries at once.
 const ORIGIN_LINK: usize = 2;
 
-fn peers(count: usize) -> BTreeSet<Peer> {
-    let peer = |number: usize| Peer {
-        host: format!("host-{number}").into(),
-        data_centre: format!("r{}-a", number % 3).into(),
-        region: format!("r{}", number % 3).into(),
-    };
-    (0..count).map(peer).collect()
-}
-
-fn pieces() -> Vec<Piece> {
-    let piece = |index: usize| {
-        let mut hash = [0; 32];
-        hash[0] = index as u8;
-        hash[31] = index.wrapping_mul(37) as u8;
-        Piece {
-            artifact: "m".into(),
-            offset: index as u64,
-            length: 1,
-            hash,
-        }
-    };
-    (0..PIECES).map(piece).collect()
-}
-
-fn steps(me: &Peer, peers: &BTreeSet<Peer>) -> Vec<Step> {
-    let pieces = pieces();
-    let plan = Plan::new(Policy::Once, me, peers, &pieces, "r0").steps;
-    let find = |piece: &Piece| {
-        let step = plan.iter().find(|step| step.hash == piece.hash);
-        step.expect("each piece has a step").clone()
-    };
-    pieces.iter().map(find).collect()
-}
-
 struct Fleet {
     peers: BTreeMap<Host, Peer>,
     spreads: BTreeMap<Host, Spread>,
--- a/crates/core/tests/uploads.rs
+++ b/crates/core/tests/uploads.rs
@@ -1,10 +1,11 @@
 //! Patterns: a large fleet spreads a version over slow links, where each host sends one piece at a
 //! time and learns late what the others hold; all ask the first holders of a piece at once.
 
+mod weights;
+
 use {
     jayspread_core::{
-        bundle::Piece,
-        chunk::{Peer, Plan, Policy, Source, Step},
+        chunk::{Peer, Source},
         id::Host,
         spread::{self, Holder, QUEUED, Spread},
     },
@@ -13,9 +14,9 @@
         collections::{BTreeMap, BTreeSet, VecDeque},
         time::Duration,
     },
+    weights::{PIECES, peers, steps},
 };
 
-const PIECES: usize = 48;
 /// One step of the model.
 const STEP: Duration = Duration::from_millis(10);
 /// Steps that a piece of 48 KiB takes over a host's paced link of 9.4 Mbit/s.
@@ -49,32 +50,9 @@
     queue: usize,
 }
 
-fn steps(me: &Peer, peers: &BTreeSet<Peer>) -> Vec<Step> {
-    let piece = |index: usize| {
-        let mut hash = [0; 32];
-        hash[0] = index as u8;
-        hash[31] = index.wrapping_mul(37) as u8;
-        Piece {
-            artifact: "m".into(),
-            offset: index as u64,
-            length: 1,
-            hash,
-        }
-    };
-    let pieces: Vec<Piece> = (0..PIECES).map(piece).collect();
-    let plan = Plan::new(Policy::Once, me, peers, &pieces, "r0").steps;
-    let find = |piece: &Piece| plan.iter().find(|step| step.hash == piece.hash).cloned();
-    pieces.iter().map(|p| find(p).expect("planned")).collect()
-}
-
 impl Fleet {
     fn new(count: usize, queue: usize) -> Self {
-        let peer = |number: usize| Peer {
-            host: format!("host-{number:02}").into(),
-            data_centre: format!("r{}-a", number % 3).into(),
-            region: format!("r{}", number % 3).into(),
-        };
-        let peers: BTreeSet<Peer> = (0..count).map(peer).collect();
+        let peers = peers(count);
         let member = |(number, peer): (usize, &Peer)| Member {
             peer: peer.clone(),
             spread: Spread::new(
