core: membership by probes, audiences of engines, delay of reports, mirror with eras

A mirror that compares by offset alone loses what a store that came back from a copy gives the same offsets. Change: swim (random probes, indirect probes, suspicion that is verified before it ends, statements on probes, lists on differing digests), audience (few entry hosts an engine, shares of limits in whole requests), delay (age of a datagram without synchronised clocks), mirror (positions of era and offset; moved here from the entry host). Nothing uses them yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,17 +5,20 @@
 //! from a generator that the caller passes, and invariants are asserted in release builds too.
 
 pub mod admission;
+pub mod audience;
 pub mod bundle;
 pub mod call;
 pub mod catalog;
 pub mod chunk;
 pub mod claim;
 pub mod config;
+pub mod delay;
 pub mod engine;
 pub mod fair;
 pub mod id;
 pub mod load;
 pub mod member;
+pub mod mirror;
 pub mod outlier;
 pub mod placement;
 pub mod progress;
@@ -27,5 +30,6 @@
 pub mod schedule;
 pub mod spread;
 pub mod sse;
+pub mod swim;
 pub mod target;
 pub mod window;
--- /dev/null
+++ b/crates/core/src/swim.rs
@@ -0,0 +1,776 @@
+//! Membership by random probes, after SWIM: the cost of a member does not grow with the group.
+//!
+//! Each member probes one other per period. If the acknowledgement does not arrive in time, it asks
+//! a few others to probe the member, so that a link that is cut in one direction or between two
+//! regions does not make a member look dead. A member that nobody reaches is suspect, and dead if it
+//! does not contradict within a time limit. Changes travel on probes and acknowledgements; members
+//! whose digests differ exchange their lists.
+//!
+//! A member that misses acknowledgements trusts its own observations less and waits longer. After a
+//! pause of the process, the time for which it did not listen is not held against others.
+
+use {
+    crate::id::{Host, Incarnation, score},
+    rand::{Rng, seq::SliceRandom},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Interval between two probes of a member.
+pub const PROBE_PERIOD: Duration = Duration::from_millis(500);
+/// Interval between two probes of a member that has just started.
+pub const EAGER_PROBE_PERIOD: Duration = Duration::from_millis(120);
+/// Time for an acknowledgement, after which others are asked to probe the member.
+const ACK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Number of members that are asked to probe one that did not acknowledge.
+const INDIRECT_PROBES: usize = 3;
+/// Time for which a suspect member may contradict before it is dead.
+const SUSPICION_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// Time before the end of a suspicion from which the member is probed again, through others.
+const VERIFICATION_TIME: Duration = Duration::from_millis(1_700);
+/// Shortest interval between two rounds of these probes.
+const VERIFICATION_INTERVAL: Duration = Duration::from_millis(400);
+/// Number of members asked in each round.
+const VERIFICATION_PROBES: usize = 5;
+/// Time for which a datagram of a member outweighs suspicions of others about it.
+const DIRECT_EVIDENCE_AGE: Duration = Duration::from_millis(1_000);
+/// Time for which a dead or departed member is remembered and occasionally probed, so that parts of
+/// the group that were cut off from each other meet again.
+const DEAD_RETENTION: Duration = Duration::from_secs(120);
+/// One in this many probes goes to a dead member.
+const DEAD_PROBE_INTERVAL: u64 = 4;
+/// Time between two ticks from which this process counts as having been paused.
+const PAUSE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Largest multiple of the timeouts that a member with failing probes waits for.
+const MAX_LOCAL_HEALTH: u32 = 4;
+/// Number of times that a change is passed on; receiving it from others counts as well. Members that
+/// miss it learn of it when their digests differ.
+const MAX_UPDATE_SENDS: u32 = 8;
+/// Number of members that are told at once of a suspicion or of its contradiction.
+const URGENT_SENDS: usize = 3;
+/// Number of relayed probes in progress; further requests are ignored.
+const MAX_RELAYS: usize = 64;
+
+/// What a member believes about another. The order is the precedence within one incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It answers.
+    Alive,
+    /// It did not answer; it may still contradict.
+    Suspect,
+    /// It did not contradict in time.
+    Dead,
+    /// It said that it was leaving.
+    Left,
+}
+
+impl Standing {
+    /// Whether the member is gone.
+    fn is_gone(self) -> bool {
+        matches!(self, Standing::Dead | Standing::Left)
+    }
+}
+
+/// Statement about a member, passed on from member to member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Update<C> {
+    /// Name of the member.
+    pub host: Host,
+    /// How to reach it.
+    pub contact: C,
+    /// Incarnation that the statement is about.
+    pub incarnation: Incarnation,
+    /// What is stated.
+    pub standing: Standing,
+}
+
+/// A change of what this member believes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Name of the member.
+    pub host: Host,
+    /// Its new standing.
+    pub standing: Standing,
+    /// Whether it is a later incarnation than the known one, or was not known.
+    pub is_new: bool,
+}
+
+/// Datagram to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Message {
+    /// Probe; the receiver acknowledges with the same number.
+    Probe {
+        /// Number of the probe.
+        nonce: u64,
+    },
+    /// Request to probe `host` and to pass on its acknowledgement under this number.
+    ProbeRequest {
+        /// Number of the probe.
+        nonce: u64,
+        /// Member to probe.
+        host: Host,
+    },
+    /// Acknowledgement of a probe.
+    Ack {
+        /// Number of the probe.
+        nonce: u64,
+    },
+}
+
+/// A datagram and its receiver.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Send {
+    /// Name of the receiver.
+    pub to: Host,
+    /// What to send.
+    pub message: Message,
+}
+
+#[derive(Debug, Clone)]
+struct Record<C> {
+    contact: C,
+    incarnation: Incarnation,
+    standing: Standing,
+    /// Time of the last change of the standing, or of the end of this process's last pause.
+    since: Instant,
+    /// Time of the last datagram of the member itself.
+    heard_at: Option<Instant>,
+    /// A datagram of the member has contradicted a suspicion, which others may still hold. The
+    /// member is told, so that it takes a larger incarnation.
+    accused: bool,
+    /// Probes before the end of a suspicion.
+    verification: Option<Verification>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Verification {
+    nonce: u64,
+    started_at: Instant,
+    last_sent_at: Instant,
+}
+
+#[derive(Debug, Clone)]
+struct Probe {
+    host: Host,
+    nonce: u64,
+    sent_at: Instant,
+    indirect: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Relay {
+    origin: Host,
+    origin_nonce: u64,
+    sent_at: Instant,
+}
+
+/// Contribution of a member that is not gone to the digest of the group.
+fn presence(host: &str, incarnation: Incarnation) -> u64 {
+    score(&incarnation.to_le_bytes(), host)
+}
+
+/// The group as one member sees it.
+#[derive(Debug, Clone)]
+pub struct Group<C> {
+    me: Host,
+    contact: C,
+    incarnation: Incarnation,
+    records: BTreeMap<Host, Record<C>>,
+    /// Statements to pass on and the number of times that each was sent.
+    queue: BTreeMap<Host, u32>,
+    /// Members still to be probed in this round.
+    round: Vec<Host>,
+    probe: Option<Probe>,
+    relays: BTreeMap<u64, Relay>,
+    next_probe_at: Option<Instant>,
+    last_tick: Option<Instant>,
+    next_nonce: u64,
+    /// Multiple by which timeouts are extended, minus one; rises with own failed probes.
+    local_health: u32,
+    digest: u64,
+    /// A suspicion or its contradiction is to be told at once.
+    urgent: bool,
+}
+
+impl<C: Clone + PartialEq> Group<C> {
+    /// Creates the group of a member that knows no other.
+    pub fn new(me: Host, contact: C, incarnation: Incarnation) -> Self {
+        let mut group = Self {
+            me,
+            contact,
+            incarnation,
+            records: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            round: Vec::new(),
+            probe: None,
+            relays: BTreeMap::new(),
+            next_probe_at: None,
+            last_tick: None,
+            next_nonce: 1,
+            local_health: 0,
+            digest: 0,
+            urgent: false,
+        };
+        group.queue.insert(group.me.clone(), 0);
+        group.digest = presence(&group.me, incarnation);
+        group
+    }
+
+    /// Name of this member.
+    pub fn me(&self) -> &Host {
+        &self.me
+    }
+
+    /// Incarnation of this member; it rises when the member contradicts a statement about itself.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Digest of the members that are not gone and their incarnations.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Records a datagram of the member itself.
+    pub fn observe(
+        &mut self,
+        host: &str,
+        contact: C,
+        incarnation: Incarnation,
+        leaving: bool,
+        now: Instant,
+    ) -> Option<Change> {
+        if *host == *self.me {
+            return None;
+        }
+        let standing = if leaving {
+            Standing::Left
+        } else {
+            Standing::Alive
+        };
+        if let Some(record) = self.records.get_mut(host) {
+            if incarnation < record.incarnation {
+                // Late, or a process whose clock was set back; it learns of the larger incarnation
+                // from the next datagram to it.
+                self.queue.entry(host.into()).or_insert(0);
+                return None;
+            }
+            record.heard_at = Some(now);
+            if incarnation == record.incarnation
+                && (record.standing == standing || record.standing == Standing::Left)
+            {
+                return None;
+            }
+        }
+        let update = Update {
+            host: host.into(),
+            contact,
+            incarnation,
+            standing,
+        };
+        let known = self.records.get(host);
+        let accused = known.is_some_and(|known| known.incarnation == incarnation);
+        let change = self.set(update, now);
+        if let Some(record) = self.records.get_mut(host) {
+            record.heard_at = Some(now);
+            record.accused = accused && !leaving;
+        }
+        Some(change)
+    }
+
+    /// Applies statements that other members pass on, and returns what changed.
+    pub fn merge(&mut self, updates: Vec<Update<C>>, now: Instant) -> Vec<Change> {
+        for update in &updates {
+            self.count_known(update);
+        }
+        self.apply(updates, now)
+    }
+
+    /// Applies the list of another member and returns what changed. Its statements are not passed
+    /// on, as they are not news to others.
+    pub fn merge_list(&mut self, list: Vec<Update<C>>, now: Instant) -> Vec<Change> {
+        let changes = self.apply(list, now);
+        for change in &changes {
+            self.queue.remove(&change.host);
+        }
+        changes
+    }
+
+    fn apply(&mut self, updates: Vec<Update<C>>, now: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for update in updates {
+            if *update.host == *self.me {
+                self.contradict(&update);
+                continue;
+            }
+            if self.supersedes(&update, now) {
+                changes.push(self.set(update, now));
+            }
+        }
+        changes
+    }
+
+    /// Counts a statement that this member would pass on as sent, since others pass it on.
+    fn count_known(&mut self, update: &Update<C>) {
+        let known = self.records.get(&update.host);
+        let same =
+            |r: &Record<C>| (r.incarnation, r.standing) == (update.incarnation, update.standing);
+        if !known.is_some_and(same) {
+            return;
+        }
+        if let Some(sends) = self.queue.get_mut(&update.host) {
+            *sends += 1;
+            if *sends >= MAX_UPDATE_SENDS {
+                self.queue.remove(&update.host);
+            }
+        }
+    }
+
+    /// Takes a larger incarnation if a statement about this member is wrong or is about a process
+    /// that seems to be later.
+    fn contradict(&mut self, update: &Update<C>) {
+        let wrong = update.incarnation == self.incarnation && update.standing != Standing::Alive;
+        if wrong || update.incarnation > self.incarnation {
+            self.digest ^= presence(&self.me, self.incarnation);
+            self.incarnation = update.incarnation + 1;
+            self.digest ^= presence(&self.me, self.incarnation);
+            self.queue.insert(self.me.clone(), 0);
+            self.urgent = true;
+        }
+    }
+
+    fn supersedes(&mut self, update: &Update<C>, now: Instant) -> bool {
+        let Some(record) = self.records.get_mut(&update.host) else {
+            return !update.standing.is_gone();
+        };
+        if update.incarnation != record.incarnation {
+            return update.incarnation > record.incarnation;
+        }
+        let accusation = matches!(update.standing, Standing::Suspect | Standing::Dead);
+        let heard_recently = record
+            .heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) < DIRECT_EVIDENCE_AGE);
+        if accusation && heard_recently && record.standing == Standing::Alive {
+            record.accused = true;
+            return false;
+        }
+        update.standing > record.standing
+    }
+
+    fn set(&mut self, update: Update<C>, now: Instant) -> Change {
+        let Update {
+            host,
+            contact,
+            incarnation,
+            standing,
+        } = update;
+        let known = self.records.get(&host);
+        let is_new = known.is_none_or(|known| incarnation > known.incarnation);
+        let heard_at = known.and_then(|known| known.heard_at);
+        if let Some(known) = known.filter(|known| !known.standing.is_gone()) {
+            self.digest ^= presence(&host, known.incarnation);
+        }
+        if !standing.is_gone() {
+            self.digest ^= presence(&host, incarnation);
+        }
+        let record = Record {
+            contact,
+            incarnation,
+            standing,
+            since: now,
+            heard_at,
+            accused: false,
+            verification: None,
+        };
+        self.records.insert(host.clone(), record);
+        self.queue.insert(host.clone(), 0);
+        Change {
+            host,
+            standing,
+            is_new,
+        }
+    }
+
+    /// Handles an acknowledgement; returns the one to pass on if the probe was made for another
+    /// member.
+    pub fn on_ack(&mut self, nonce: u64) -> Option<Send> {
+        if self
+            .probe
+            .as_ref()
+            .is_some_and(|probe| probe.nonce == nonce)
+        {
+            self.probe = None;
+            self.local_health = self.local_health.saturating_sub(1);
+            return None;
+        }
+        let verified = |r: &Record<C>| r.verification.is_some_and(|v| v.nonce == nonce);
+        if let Some(record) = self.records.values_mut().find(|r| verified(r)) {
+            record.verification = None;
+            record.standing = Standing::Alive;
+            record.accused = true;
+            return None;
+        }
+        let relay = self.relays.remove(&nonce)?;
+        Some(Send {
+            to: relay.origin,
+            message: Message::Ack {
+                nonce: relay.origin_nonce,
+            },
+        })
+    }
+
+    /// Handles a request of `origin` to probe another member.
+    pub fn on_probe_request(
+        &mut self,
+        origin: &str,
+        origin_nonce: u64,
+        host: &str,
+        now: Instant,
+    ) -> Option<Send> {
+        if self.relays.len() >= MAX_RELAYS || !self.records.contains_key(host) {
+            return None;
+        }
+        let nonce = self.take_nonce();
+        let relay = Relay {
+            origin: origin.into(),
+            origin_nonce,
+            sent_at: now,
+        };
+        self.relays.insert(nonce, relay);
+        Some(Send {
+            to: host.into(),
+            message: Message::Probe { nonce },
+        })
+    }
+
+    fn take_nonce(&mut self) -> u64 {
+        self.next_nonce += 1;
+        self.next_nonce
+    }
+
+    /// Time at which [`Group::tick`] is to be called next; `None` for at once.
+    pub fn next_tick(&self) -> Option<Instant> {
+        if self.urgent {
+            return None;
+        }
+        let indirect = self.probe.as_ref().filter(|probe| !probe.indirect);
+        let indirect_at = indirect.map(|probe| probe.sent_at + self.extended(ACK_TIMEOUT));
+        match (self.next_probe_at, indirect_at) {
+            (Some(next), Some(indirect)) => Some(next.min(indirect)),
+            (next, indirect) => next.or(indirect),
+        }
+    }
+
+    fn extended(&self, timeout: Duration) -> Duration {
+        timeout * (1 + self.local_health)
+    }
+
+    /// Sends probes, and lets suspicions and memories expire. `period` is the time until the next
+    /// probe.
+    pub fn tick(
+        &mut self,
+        period: Duration,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> (Vec<Send>, Vec<Change>) {
+        self.forgive_pause(now);
+        self.relays
+            .retain(|_, relay| now.saturating_duration_since(relay.sent_at) < PAUSE_LIMIT);
+        let mut changes = self.expire(now);
+        let mut sends = self.probe_indirectly(now, rng);
+        sends.extend(self.verify_suspects(now, rng));
+        if self.next_probe_at.is_none_or(|at| now >= at) {
+            changes.extend(self.suspect_unanswered(now));
+            sends.extend(self.start_probe(now, rng));
+            self.next_probe_at = Some(now + period);
+        }
+        if std::mem::take(&mut self.urgent) {
+            sends.extend(self.tell_at_once(rng));
+        }
+        (sends, changes)
+    }
+
+    /// Probes of random members, which carry the latest statements.
+    fn tell_at_once(&mut self, rng: &mut impl Rng) -> Vec<Send> {
+        let alive = self
+            .records
+            .iter()
+            .filter(|(_, r)| r.standing == Standing::Alive);
+        let mut alive: Vec<Host> = alive.map(|(host, _)| host.clone()).collect();
+        let (chosen, _) = alive.partial_shuffle(rng, URGENT_SENDS);
+        let probes = chosen.iter().map(|to| Send {
+            to: to.clone(),
+            message: Message::Probe {
+                nonce: self.take_nonce(),
+            },
+        });
+        probes.collect()
+    }
+
+    /// After a pause of this process, gives up its probe and starts all suspicions anew: answers
+    /// may have arrived while it did not read them.
+    fn forgive_pause(&mut self, now: Instant) {
+        let last = self.last_tick.replace(now);
+        let paused = last.is_some_and(|at| now.saturating_duration_since(at) > PAUSE_LIMIT);
+        if !paused {
+            return;
+        }
+        self.probe = None;
+        self.relays.clear();
+        self.local_health = (self.local_health + 1).min(MAX_LOCAL_HEALTH);
+        for record in self.records.values_mut() {
+            if record.standing == Standing::Suspect {
+                record.since = now;
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Instant) -> Vec<Change> {
+        let limit = self.extended(SUSPICION_TIMEOUT);
+        let age = |record: &Record<C>| now.saturating_duration_since(record.since);
+        let verified = |r: &Record<C>| {
+            r.verification
+                .is_some_and(|v| now >= v.started_at + VERIFICATION_TIME)
+        };
+        let expired = self
+            .records
+            .iter()
+            .filter(|(_, r)| r.standing == Standing::Suspect && age(r) >= limit && verified(r))
+            .map(|(host, r)| Update {
+                host: host.clone(),
+                contact: r.contact.clone(),
+                incarnation: r.incarnation,
+                standing: Standing::Dead,
+            });
+        let expired: Vec<Update<C>> = expired.collect();
+        let changes = expired
+            .into_iter()
+            .map(|update| self.set(update, now))
+            .collect();
+        self.records
+            .retain(|_, r| !r.standing.is_gone() || age(r) < DEAD_RETENTION);
+        changes
+    }
+
+    /// Asks others to probe a member that has not acknowledged in time.
+    fn probe_indirectly(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<Send> {
+        let timeout = self.extended(ACK_TIMEOUT);
+        let Some(probe) = &mut self.probe else {
+            return Vec::new();
+        };
+        if probe.indirect || now.saturating_duration_since(probe.sent_at) < timeout {
+            return Vec::new();
+        }
+        probe.indirect = true;
+        let (nonce, host) = (probe.nonce, probe.host.clone());
+        if self.records.get(&host).is_none_or(|r| r.standing.is_gone()) {
+            return Vec::new();
+        }
+        self.ask_others(&host, nonce, INDIRECT_PROBES, rng)
+    }
+
+    /// Requests to `count` random members to probe `host`.
+    fn ask_others(&self, host: &Host, nonce: u64, count: usize, rng: &mut impl Rng) -> Vec<Send> {
+        let helpers = self
+            .records
+            .iter()
+            .filter(|(name, r)| *name != host && r.standing == Standing::Alive);
+        let mut helpers: Vec<&Host> = helpers.map(|(name, _)| name).collect();
+        let (chosen, _) = helpers.partial_shuffle(rng, count);
+        let request = |to: &Host| Send {
+            to: to.clone(),
+            message: Message::ProbeRequest {
+                nonce,
+                host: host.clone(),
+            },
+        };
+        chosen.iter().map(|to| request(to)).collect()
+    }
+
+    /// Probes suspect members again before their suspicion ends. Others may have suspected them
+    /// over a link that is cut.
+    fn verify_suspects(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<Send> {
+        let start = self
+            .extended(SUSPICION_TIMEOUT)
+            .saturating_sub(VERIFICATION_TIME);
+        let due = self.records.iter().filter(|(_, r)| {
+            let age = now.saturating_duration_since(r.since);
+            let waited = r
+                .verification
+                .is_none_or(|v| now >= v.last_sent_at + VERIFICATION_INTERVAL);
+            r.standing == Standing::Suspect && age >= start && waited
+        });
+        let due: Vec<(Host, Option<Verification>)> = due
+            .map(|(host, r)| (host.clone(), r.verification))
+            .collect();
+        let mut sends = Vec::new();
+        for (host, verification) in due {
+            let nonce = verification.map_or_else(|| self.take_nonce(), |v| v.nonce);
+            sends.extend(self.ask_others(&host, nonce, VERIFICATION_PROBES, rng));
+            if let Some(record) = self.records.get_mut(&host) {
+                record.verification = Some(Verification {
+                    nonce,
+                    started_at: verification.map_or(now, |v| v.started_at),
+                    last_sent_at: now,
+                });
+            }
+            sends.push(Send {
+                to: host,
+                message: Message::Probe { nonce },
+            });
+        }
+        sends
+    }
+
+    /// Suspects the member whose probe nobody acknowledged.
+    fn suspect_unanswered(&mut self, now: Instant) -> Option<Change> {
+        let probe = self.probe.take()?;
+        let record = self.records.get(&probe.host)?;
+        let heard_since = record.heard_at.is_some_and(|at| at >= probe.sent_at);
+        // A shorter period leaves no time for the indirect probes.
+        let complete = now >= probe.sent_at + PROBE_PERIOD && probe.indirect;
+        if record.standing != Standing::Alive || heard_since || !complete {
+            return None;
+        }
+        self.urgent = true;
+        self.local_health = (self.local_health + 1).min(MAX_LOCAL_HEALTH);
+        let update = Update {
+            host: probe.host.clone(),
+            contact: record.contact.clone(),
+            incarnation: record.incarnation,
+            standing: Standing::Suspect,
+        };
+        Some(self.set(update, now))
+    }
+
+    fn start_probe(&mut self, now: Instant, rng: &mut impl Rng) -> Option<Send> {
+        let nonce = self.take_nonce();
+        let host = if nonce.is_multiple_of(DEAD_PROBE_INTERVAL) {
+            self.random_dead(rng).or_else(|| self.next_in_round(rng))
+        } else {
+            self.next_in_round(rng)
+        }?;
+        self.probe = Some(Probe {
+            host: host.clone(),
+            nonce,
+            sent_at: now,
+            indirect: false,
+        });
+        Some(Send {
+            to: host,
+            message: Message::Probe { nonce },
+        })
+    }
+
+    fn random_dead(&self, rng: &mut impl Rng) -> Option<Host> {
+        let dead = self
+            .records
+            .iter()
+            .filter(|(_, r)| r.standing == Standing::Dead);
+        let dead: Vec<&Host> = dead.map(|(host, _)| host).collect();
+        (!dead.is_empty()).then(|| dead[rng.random_range(0..dead.len())].clone())
+    }
+
+    /// Next member in a random order that contains each member once.
+    fn next_in_round(&mut self, rng: &mut impl Rng) -> Option<Host> {
+        loop {
+            if let Some(host) = self.round.pop() {
+                let present = self.records.get(&host);
+                if present.is_some_and(|r| !r.standing.is_gone()) {
+                    return Some(host);
+                }
+                continue;
+            }
+            let present = self.records.iter().filter(|(_, r)| !r.standing.is_gone());
+            self.round = present.map(|(host, _)| host.clone()).collect();
+            if self.round.is_empty() {
+                return None;
+            }
+            self.round.shuffle(rng);
+        }
+    }
+
+    /// Statements to pass on in a datagram to `to`: a wrong belief about `to` itself first, so that
+    /// it can contradict, then the ones that were sent least often.
+    pub fn take_updates(&mut self, to: &str, limit: usize) -> Vec<Update<C>> {
+        let mut updates = Vec::new();
+        updates.extend(self.accusation(to));
+        let mut pending: Vec<(u32, Host)> = self
+            .queue
+            .iter()
+            .map(|(host, sends)| (*sends, host.clone()))
+            .collect();
+        pending.sort_unstable();
+        for (sends, host) in pending {
+            if updates.len() >= limit {
+                break;
+            }
+            updates.extend(self.statement(&host));
+            if sends + 1 >= MAX_UPDATE_SENDS {
+                self.queue.remove(&host);
+            } else {
+                self.queue.insert(host, sends + 1);
+            }
+        }
+        updates
+    }
+
+    /// Statement about `host` that it should contradict, if there is one.
+    fn accusation(&self, host: &str) -> Option<Update<C>> {
+        let record = self.records.get(host)?;
+        let mut statement = self.statement(host)?;
+        if record.accused {
+            statement.standing = Standing::Suspect;
+        }
+        (statement.standing != Standing::Alive).then_some(statement)
+    }
+
+    /// What this member believes about `host`.
+    fn statement(&self, host: &str) -> Option<Update<C>> {
+        if *host == *self.me {
+            return Some(Update {
+                host: self.me.clone(),
+                contact: self.contact.clone(),
+                incarnation: self.incarnation,
+                standing: Standing::Alive,
+            });
+        }
+        let record = self.records.get(host)?;
+        Some(Update {
+            host: host.into(),
+            contact: record.contact.clone(),
+            incarnation: record.incarnation,
+            standing: record.standing,
+        })
+    }
+
+    /// All statements of this member, including the one about itself.
+    pub fn statements(&self) -> impl Iterator<Item = Update<C>> {
+        let hosts = std::iter::once(&self.me).chain(self.records.keys());
+        hosts.filter_map(|host| self.statement(host))
+    }
+
+    /// Standing of a member; `None` if it is not known.
+    pub fn standing(&self, host: &str) -> Option<Standing> {
+        self.records.get(host).map(|record| record.standing)
+    }
+
+    /// How to reach a member.
+    pub fn contact(&self, host: &str) -> Option<&C> {
+        self.records.get(host).map(|record| &record.contact)
+    }
+
+    /// Whether a datagram of any other member has arrived.
+    pub fn has_heard(&self) -> bool {
+        self.records.values().any(|r| r.heard_at.is_some())
+    }
+
+    /// Other members that are remembered.
+    pub fn iter(&self) -> impl Iterator<Item = (&Host, &C, Standing)> {
+        self.records
+            .iter()
+            .map(|(host, record)| (host, &record.contact, record.standing))
+    }
+}
