Stalled streams that trickle are given up; callers read rejections of large bodies; tests of the new modules

Cause: a stream's stall and deadline were checked only when a read timed out, so an engine that sends a byte more often than every 100 ms was never given up. A download from a peer could last as long as bytes trickled. Change: both are checked before each read; downloads have a total limit; the rest of a rejected body is read for up to a second (net::body, one copy for both interfaces). A share of a limit overflowed for large hashes, found by its new test. Ruled out: sending the response before the rest is read; hyper closes when the handler returns.

--- a/crates/core/src/audience.rs
+++ b/crates/core/src/audience.rs
@@ -82,6 +82,6 @@
 pub fn share(rate: f64, index: usize, hosts: usize, subject: u64) -> u32 {
     let hosts = hosts.max(1) as u64;
     let whole = rate.max(0.0) as u64;
-    let rank = (index as u64 + subject) % hosts;
+    let rank = (index as u64 + subject % hosts) % hosts;
     (whole / hosts) as u32 + u32::from(rank < whole % hosts)
 }
--- a/crates/core/tests/reader.rs
+++ b/crates/core/tests/reader.rs
@@ -2,7 +2,10 @@
 //! have lost the store, and while hosts see different members.
 
 use {
-    jayspread_core::reader::{Peer, READERS_PER_REGION, reads_store},
+    jayspread_core::{
+        id::Host,
+        reader::{Peer, READERS_PER_REGION, children, reads_store},
+    },
     rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom},
 };
 
@@ -88,3 +91,30 @@
         );
     }
 }
+
+/// News reach each host of a region once, over hosts that each tell at most four others.
+#[test]
+fn news_reach_every_host_once() {
+    for count in [1, 2, 5, 30, 148] {
+        let hosts: Vec<Host> = host_names(count).into_iter().map(Into::into).collect();
+        for root in [0, count / 2, count - 1] {
+            let root = &hosts[root];
+            let mut told: Vec<&Host> = vec![root];
+            let mut next = 0;
+            while next < told.len() {
+                let children = children(&hosts, root, told[next]);
+                assert!(children.len() <= 4);
+                told.extend(children);
+                next += 1;
+            }
+            told.sort();
+            assert_eq!(told, hosts.iter().collect::<Vec<_>>());
+        }
+    }
+}
+
+#[test]
+fn host_that_does_not_know_the_root_tells_nobody() {
+    let hosts: Vec<Host> = host_names(5).into_iter().map(Into::into).collect();
+    assert!(children(&hosts, "edge-unknown", &hosts[0]).is_empty());
+}
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -16,7 +16,6 @@
     },
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, StatusCode, Uri, header},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{body::Frame, service::Service as _},
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -24,7 +23,7 @@
         service::TowerToHyperService,
     },
     jayspread_core::{bundle, id},
-    jayspread_net::{admin::View, clock, event},
+    jayspread_net::{admin::View, body, clock, event},
     std::{
         io,
         net::SocketAddr,
@@ -376,32 +375,26 @@
 }
 
 async fn read_body(body: Body, max_bytes: usize, timeout: Duration) -> Result<Bytes, Problem> {
-    let collected = time::timeout(timeout, Limited::new(body, max_bytes).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(cause)) if cause.is::<LengthLimitError>() => {
-            let detail = format!("the body is larger than {max_bytes} bytes");
-            Err(Problem::not_executed(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "too-large",
-                detail,
-            ))
-        }
-        Ok(Err(_)) => {
-            let detail = "the body broke off";
-            Err(Problem::not_executed(
-                StatusCode::BAD_REQUEST,
-                "bad-body",
-                detail,
-            ))
-        }
-        Err(_) => {
-            let detail = "the body came too slowly";
-            Err(Problem::not_executed(
-                StatusCode::REQUEST_TIMEOUT,
-                "slow-caller",
-                detail,
-            ))
-        }
-    }
+    let error = match body::read(body, max_bytes, timeout).await {
+        Ok(bytes) => return Ok(bytes),
+        Err(error) => error,
+    };
+    let (status, reason, detail) = match error {
+        body::Error::TooLarge => (
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "too-large",
+            format!("the body is larger than {max_bytes} bytes"),
+        ),
+        body::Error::Broken => (
+            StatusCode::BAD_REQUEST,
+            "bad-body",
+            "the body broke off".to_owned(),
+        ),
+        body::Error::TooSlow => (
+            StatusCode::REQUEST_TIMEOUT,
+            "slow-caller",
+            "the body came too slowly".to_owned(),
+        ),
+    };
+    Err(Problem::not_executed(status, reason, detail))
 }
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -15,14 +15,13 @@
     },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, StatusCode, header, request::Parts},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
     jayspread_core::{
         call::Call,
-        catalog::{Catalog, Route},
+        catalog::{Catalog, Organisation, Route},
         outlier::Outcome,
     },
-    jayspread_net::clock,
+    jayspread_net::{body, clock},
     jayspread_platform::header as wire,
     std::{
         sync::{Arc, atomic::Ordering},
@@ -42,10 +41,10 @@
 pub async fn serve(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
     let arrived = clock::now();
     state.metrics.requests.inc();
-    let (parts, body) = request.into_parts();
+    let (parts, incoming) = request.into_parts();
     let request = wire::parse_request(&parts.headers);
     let request_id = request.as_ref().map(|request| request.id.clone());
-    match accept(state.clone(), parts, body, request, arrived).await {
+    match accept(state.clone(), parts, incoming, request, arrived).await {
         Ok(exchange) => exchange.run().await,
         Err(problem) => {
             metrics::count(&state.metrics.failed, problem.reason);
@@ -68,31 +67,26 @@
 async fn accept(
     state: Arc<State>,
     parts: Parts,
-    body: Incoming,
+    incoming: Incoming,
     request: Option<wire::Request>,
     arrived: Instant,
 ) -> Result<Exchange, Problem> {
-    if state.refuses_requests() {
-        return Err(Problem::unavailable("stopping", SHUTDOWN_RETRY_AFTER));
-    }
-    let Some(catalog) = state.catalog() else {
-        return Err(Problem::unavailable("starting", STARTUP_RETRY_AFTER));
-    };
-    let Some(request) = request else {
-        return Err(Problem::rejected(StatusCode::BAD_REQUEST, "no_request_id"));
-    };
-    let route = find_route(&catalog, &parts)?;
-    let organisation = match &request.api_key {
-        _ if route.public || !catalog.keys_required => None,
-        Some(key) => catalog.organisation(key).cloned(),
-        None => None,
+    let admitted = match admit(&state, &parts, request) {
+        Ok(admitted) => admitted,
+        Err(problem) => {
+            body::discard(incoming).await;
+            return Err(problem);
+        }
     };
-    if organisation.is_none() && catalog.keys_required && !route.public {
-        return Err(Problem::rejected(StatusCode::UNAUTHORIZED, "unknown_key"));
-    }
+    let Admitted {
+        catalog,
+        request,
+        route,
+        organisation,
+    } = admitted;
     let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
-    let body = read_body(body, &catalog).await?;
+    let body = read_body(incoming, &catalog).await?;
     let call = Call::new(route.kind, route.max_attempts, request.last_event_id);
     let service = route.pick_service(rand::random()).clone();
     state.count_request(&service);
@@ -132,6 +126,46 @@
     })
 }
 
+/// A request whose head is valid.
+struct Admitted {
+    catalog: Arc<Catalog>,
+    request: wire::Request,
+    route: Arc<Route>,
+    organisation: Option<Arc<Organisation>>,
+}
+
+/// Validates the head of a request.
+fn admit(
+    state: &State,
+    parts: &Parts,
+    request: Option<wire::Request>,
+) -> Result<Admitted, Problem> {
+    if state.refuses_requests() {
+        return Err(Problem::unavailable("stopping", SHUTDOWN_RETRY_AFTER));
+    }
+    let Some(catalog) = state.catalog() else {
+        return Err(Problem::unavailable("starting", STARTUP_RETRY_AFTER));
+    };
+    let Some(request) = request else {
+        return Err(Problem::rejected(StatusCode::BAD_REQUEST, "no_request_id"));
+    };
+    let route = find_route(&catalog, parts)?;
+    let organisation = match &request.api_key {
+        _ if route.public || !catalog.keys_required => None,
+        Some(key) => catalog.organisation(key).cloned(),
+        None => None,
+    };
+    if organisation.is_none() && catalog.keys_required && !route.public {
+        return Err(Problem::rejected(StatusCode::UNAUTHORIZED, "unknown_key"));
+    }
+    Ok(Admitted {
+        catalog,
+        request,
+        route,
+        organisation,
+    })
+}
+
 fn find_route(catalog: &Catalog, parts: &Parts) -> Result<Arc<Route>, Problem> {
     let no_route = Problem::rejected(StatusCode::NOT_FOUND, "no_route");
     let host = parts.headers.get(header::HOST);
@@ -142,21 +176,14 @@
 }
 
 /// Reads the body of a request within the configured limits.
-async fn read_body(body: Incoming, catalog: &Catalog) -> Result<Bytes, Problem> {
+async fn read_body(incoming: Incoming, catalog: &Catalog) -> Result<Bytes, Problem> {
     let limits = &catalog.limits;
-    let reading = Limited::new(body, limits.max_body_bytes).collect();
-    match time::timeout(limits.body_timeout, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(cause)) if cause.is::<LengthLimitError>() => Err(Problem::rejected(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_large",
-        )),
-        Ok(Err(_)) => Err(Problem::rejected(StatusCode::BAD_REQUEST, "body_broken")),
-        Err(_) => Err(Problem::rejected(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_too_slow",
-        )),
-    }
+    let read = body::read(incoming, limits.max_body_bytes, limits.body_timeout).await;
+    read.map_err(|error| match error {
+        body::Error::TooLarge => Problem::rejected(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+        body::Error::Broken => Problem::rejected(StatusCode::BAD_REQUEST, "body_broken"),
+        body::Error::TooSlow => Problem::rejected(StatusCode::REQUEST_TIMEOUT, "body_too_slow"),
+    })
 }
 
 impl Exchange {
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -80,7 +80,15 @@
             if let Some(event) = self.splitter.next_event() {
                 return Next::Event(event);
             }
-            let wake_at = (clock::now() + CHECK_INTERVAL).min(exchange.deadline);
+            // Checked before each read: an engine that sends a byte now and then has stalled too.
+            let now = clock::now();
+            if now >= exchange.deadline {
+                return Next::Deadline;
+            }
+            if exchange.can_fail_over() && self.response.permit.is_stalled(since, target) {
+                return Next::Broken("stalled");
+            }
+            let wake_at = (now + CHECK_INTERVAL).min(exchange.deadline);
             match time::timeout_at(wake_at.into(), self.response.channel.receive_data()).await {
                 Ok(Ok(Some(chunk))) => {
                     if self.splitter.push(&chunk).is_err() {
@@ -90,12 +98,7 @@
                 Ok(Ok(None)) if self.splitter.is_empty() => return Next::End,
                 Ok(Ok(None)) => return Next::Broken("ended_inside_an_event"),
                 Ok(Err(cause)) => return Next::Broken(cause.kind()),
-                Err(_) if clock::now() >= exchange.deadline => return Next::Deadline,
-                Err(_) => {
-                    if exchange.can_fail_over() && self.response.permit.is_stalled(since, target) {
-                        return Next::Broken("stalled");
-                    }
-                }
+                Err(_) => {}
             }
         }
     }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -7,6 +7,9 @@
     tokio::time,
 };
 
+/// Longest time for a download; a server that sends a byte now and then does not hold it for ever.
+const MAX_DOWNLOAD_TIME: Duration = Duration::from_secs(20);
+
 /// Client of one address; keeps one connection and reopens it when needed.
 pub struct Client {
     address: SocketAddr,
@@ -57,13 +60,17 @@
     ) -> Result<(Head, Bytes), Error> {
         let (mut channel, head) =
             with_timeout(idle_timeout, self.start_request(request, idle_timeout)).await?;
-        let mut body = BytesMut::new();
-        while let Some(data) = with_timeout(idle_timeout, channel.receive_data()).await? {
-            if body.len() + data.len() > max_body {
-                return Err(Error::Malformed("response body is too large"));
+        let receiving = async {
+            let mut body = BytesMut::new();
+            while let Some(data) = with_timeout(idle_timeout, channel.receive_data()).await? {
+                if body.len() + data.len() > max_body {
+                    return Err(Error::Malformed("response body is too large"));
+                }
+                body.extend_from_slice(&data);
             }
-            body.extend_from_slice(&data);
-        }
+            Ok(body)
+        };
+        let body = with_timeout(MAX_DOWNLOAD_TIME, receiving).await?;
         self.channel = channel.is_clean().then_some(channel);
         Ok((head, body.freeze()))
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! HTTP clients with deadlines, the administration port, logs and signals.
 
 pub mod admin;
+pub mod body;
 pub mod cert;
 pub mod channel;
 pub mod client;
