jayspread explain: the way of a request through the logs, and the cause of its outcome

Cause: from an id to its cause took several searches over the files of all hosts. Change: entry::explain reads files line by line and keeps the lines of a request and what its hosts logged about its engines near it; a sentence names the cause. Filters by engine, host and time.

--- a/crates/entry/src/args.rs
+++ b/crates/entry/src/args.rs
@@ -35,6 +35,8 @@
     Key(Key),
     /// Print the state of a running process.
     Dump(Dump),
+    /// Print the way of a request through the logs of all processes, and the cause of its outcome.
+    Explain(Explain),
     /// Check settings files.
     #[command(subcommand)]
     Settings(Settings),
@@ -63,6 +65,27 @@
     pub check: bool,
 }
 
+/// Print the way of a request through the logs of all processes, and the cause of its outcome.
+#[derive(Debug)]
+#[derive(Args)]
+pub struct Explain {
+    /// Log files; a host is named in its lines or by the name of its file.
+    #[arg(value_name = "LOG", required = true)]
+    pub logs: Vec<PathBuf>,
+    /// Id of the request.
+    #[arg(long, value_name = "ID")]
+    pub request: Option<Box<str>>,
+    /// Only lines about this engine.
+    #[arg(long, value_name = "ID")]
+    pub engine: Option<Box<str>>,
+    /// Only lines of this host.
+    #[arg(long, value_name = "NAME")]
+    pub host: Option<Box<str>>,
+    /// Only lines from the first to the last time, as the logs write them.
+    #[arg(long, value_names = ["FIRST", "LAST"], num_args = 2)]
+    pub between: Vec<Box<str>>,
+}
+
 /// Settings that give the platform's addresses and the accepted operators' keys.
 #[derive(Debug)]
 #[derive(Args)]
--- a/crates/entry/src/cmd/mod.rs
+++ b/crates/entry/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 mod data_centre;
 mod dump;
 mod entry;
+mod explain;
 mod key;
 mod operator;
 mod serve;
@@ -57,6 +58,7 @@
             Command::Key(Key::Authority(command)) => command.run().await,
             Command::Key(Key::Host(command)) => command.run().await,
             Command::Dump(command) => command.run().await,
+            Command::Explain(command) => command.run().await,
             Command::Settings(Settings::Check(command)) => command.run().await,
             Command::Completions(command) => command.run().await,
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cmd;
 pub mod dispatch;
 pub mod dump;
+pub mod explain;
 pub mod front;
 pub mod handler;
 pub mod hosts;
