--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -39,6 +39,8 @@
 /// Time without a heartbeat of an entry host, while it gets reports, after which its place goes to
 /// another.
 const ENTRY_TTL: Duration = Duration::from_millis(2_200);
+/// Time for which a silent entry host or agent is remembered.
+const SILENT_RETENTION: Duration = Duration::from_secs(60);
 /// Time for which an agent that fetches pieces gets reports after it has asked for them.
 const SUBSCRIPTION_TIME: Duration = Duration::from_millis(1_300);
 /// Largest number of agents that get reports on pieces.
@@ -270,8 +272,16 @@
     }
 }
 
+/// Forgets entry hosts and agents that have been silent for long.
+fn expire(shared: &Shared, now: Instant) {
+    let is_recent = |at: Instant| now.saturating_duration_since(at) < SILENT_RETENTION;
+    lock(&shared.entry_hosts).retain(|_, host| is_recent(host.heard_at));
+    lock(&shared.peer_reports).retain(|_, report| is_recent(report.received_at));
+}
+
 /// Sends the probes that are due; returns the time of the next ones.
 fn probe(shared: &Shared, now: Instant) -> Instant {
+    expire(shared, now);
     let is_empty = shared.weight_source().is_none();
     let mut roster = lock(&shared.roster);
     roster.tick(is_empty, now);
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -119,12 +119,6 @@
         }
     }
 
-    /// Whether this host may get a slot from a report to remote hosts. The others get none, so that
-    /// the report need not be sent to them.
-    pub fn may_get_spare_slot(self) -> bool {
-        self.position < MAX_SPARE_SLOTS
-    }
-
     /// The same among remote hosts, which use what the hosts of the engine's region leave.
     pub fn remote(index: usize, hosts: usize, round: u64) -> Self {
         Self {
@@ -133,6 +127,12 @@
         }
     }
 
+    /// Whether this host may get a slot from a report to remote hosts. The others get none, so that
+    /// the report need not be sent to them.
+    pub fn may_get_spare_slot(self) -> bool {
+        self.position < MAX_SPARE_SLOTS
+    }
+
     /// This host's share of `free` slots, of which the engine can fill `max_new` in one pass.
     fn share(self, free: u32, max_new: u32) -> u32 {
         let count = if max_new == 0 {
