--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -12,9 +12,9 @@
     bytes::Bytes,
     jayspread_core::{
         bundle::Piece,
-        chunk::{Peer, Plan, Policy, Source, Step, Tier},
-        id,
-        spread::{Fetch, Scheduler},
+        chunk::{Peer, Plan, Policy, Source, Step},
+        id::Host,
+        spread::{self, Fetch, Scheduler},
     },
     jayspread_net::{clock, event},
     jayspread_platform::{
@@ -43,10 +43,6 @@
 
 /// Interval at which other agents are asked to go on with their reports.
 const INTEREST_INTERVAL: Duration = Duration::from_millis(500);
-/// Number of agents of the own region that are asked for reports.
-const REGIONAL_SOURCES: usize = 16;
-/// Number of agents of each other region that are asked for reports once a version is overdue.
-const REMOTE_SOURCES: usize = 2;
 /// Time after the announcement of a version from which agents of all regions are asked.
 const REMOTE_INTEREST_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -229,36 +225,18 @@
         }
     }
 
-    /// Addresses of the agents whose pieces matter to this one: some of its region, those from which
-    /// the plan has it fetch pieces into the region, and, if the version is overdue, some of the
-    /// other regions.
+    /// Addresses of the agents that are asked for reports on their pieces.
     fn sources(&self, plan: &[Step], overdue: bool) -> BTreeSet<Ipv4Addr> {
         let settings = &self.shared.settings;
-        let own_region = settings.region(&settings.data_centre);
         let agents = self.shared.agents();
-        let mut by_region: BTreeMap<&str, Vec<(u64, Ipv4Addr)>> = BTreeMap::new();
-        for (host, (address, data_centre)) in &agents {
-            let rank = id::score(settings.host.as_bytes(), host);
-            let of_region = by_region.entry(settings.region(data_centre)).or_default();
-            of_region.push((rank, *address));
-        }
-        let mut sources = BTreeSet::new();
-        for (region, mut ranked) in by_region {
-            let count = match region == own_region {
-                true => REGIONAL_SOURCES,
-                false if overdue => REMOTE_SOURCES,
-                false => 0,
-            };
-            ranked.sort_unstable();
-            sources.extend(ranked.into_iter().take(count).map(|(_, address)| address));
-        }
-        let led = plan.iter().filter(|step| step.tier == Tier::Region);
-        for source in led.flat_map(|step| &step.sources) {
-            if let Source::Peer(host) = source {
-                sources.extend(agents.get(host).map(|(address, _)| *address));
-            }
-        }
-        sources
+        let regions: BTreeMap<&Host, &str> = agents
+            .iter()
+            .map(|(host, (_, data_centre))| (host, settings.region(data_centre)))
+            .collect();
+        let own_region = settings.region(&settings.data_centre);
+        let hosts = spread::report_sources(&settings.host, own_region, &regions, plan, overdue);
+        let address = |host: &Host| agents.get(host).map(|(address, _)| *address);
+        hosts.iter().filter_map(address).collect()
     }
 
     /// Performs one request and returns the index of its piece.
--- /dev/null
+++ b/crates/core/src/placement/choice.rs
@@ -0,0 +1,310 @@
+//! Choice of an engine among the eligible ones.
+
+use {
+    super::{Choice, Entry, Refusal, Requirements, Reservation, Table, refusal},
+    crate::{
+        catalog,
+        engine::{self, Engine},
+        id::{DataCentre, Engine as Id},
+    },
+    rand::Rng,
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time that relaying adds to the first event: processing at this host and the network round trip.
+const RELAY_TIME: Duration = Duration::from_millis(25);
+/// Share of occupied slots below which an engine also gets requests that it will answer late.
+const LATE_MAX_OCCUPANCY: f64 = 0.75;
+/// Margin before the end of the time in which work on an older version may begin: for late news of
+/// the version, and for the error of the estimate of when a request begins.
+const VERSION_MARGIN: Duration = Duration::from_millis(600);
+/// Smallest sum of this margin and the allowance for the time until a request begins.
+const MIN_VERSION_ALLOWANCE: Duration = Duration::from_millis(1_200);
+/// The same for an engine without a recent report.
+const UNREPORTED_VERSION_ALLOWANCE: Duration = Duration::from_millis(2_000);
+/// Multiple of the estimated time until a request begins that is allowed for it.
+const BEGIN_TIME_FACTOR: f64 = 2.0;
+/// Longest random addition to the delay suggested to a caller while all engines rest.
+const REST_SPREAD: Duration = Duration::from_millis(400);
+/// Number of requests that may queue at an engine without a model, as a multiple of its slots.
+const QUEUE_PER_SLOT: u32 = 2;
+
+impl Table {
+    /// Chooses an engine and reserves a slot there, or refuses the request. Ejected engines are
+    /// chosen only if there are no others.
+    pub fn choose(
+        &mut self,
+        requirements: &Requirements<'_>,
+        rng: &mut impl Rng,
+        now: Instant,
+    ) -> Result<Choice, Refusal> {
+        let cold_rate = requirements.backend.cold_rate;
+        self.grant_unheard(&requirements.backend.name, now);
+        let mut suitable = Vec::new();
+        let mut ejected = Vec::new();
+        let mut shortest_rest: Option<Duration> = None;
+        for (id, entry) in &mut self.entries {
+            if entry.expires_at.is_some_and(|expires_at| now >= expires_at) {
+                continue;
+            }
+            if !is_eligible(&entry.engine, requirements, &self.evacuated, now) {
+                continue;
+            }
+            if let Some(rest) = entry.engine.resting_for(now) {
+                shortest_rest = Some(shortest_rest.map_or(rest, |shortest| shortest.min(rest)));
+                continue;
+            }
+            if !entry
+                .engine
+                .within_cold_limit(cold_rate, requirements.place, now)
+            {
+                continue;
+            }
+            if entry.engine.outlier.usable(now) {
+                suitable.push(id.clone());
+            } else {
+                ejected.push(id.clone());
+            }
+        }
+        if suitable.is_empty() {
+            suitable = ejected;
+        }
+        if suitable.is_empty() {
+            return Err(match shortest_rest {
+                Some(rest) => {
+                    Refusal::Resting(rest + rng.random_range(Duration::ZERO..REST_SPREAD))
+                }
+                None => Refusal::NoEngine(refusal::retry_delay(rng)),
+            });
+        }
+        let chosen = if requirements.backend.speed.is_some() {
+            self.choose_in_time(&suitable, requirements, rng, now)
+        } else {
+            self.choose_less_busy(&suitable, requirements, rng, now)
+        };
+        let Some(id) = chosen else {
+            return Err(Refusal::Busy(refusal::retry_delay(rng)));
+        };
+        Ok(self.reserve(&id, requirements, now))
+    }
+
+    /// While no agent of a service reports to this host, its engines count as unmanaged: this host
+    /// may be new to the agents, or out of their reach.
+    fn grant_unheard(&mut self, service: &str, now: Instant) {
+        let engines = || {
+            let of_service = |e: &&Entry| *e.engine.listing.service == *service;
+            self.entries.values().filter(of_service)
+        };
+        let unheard =
+            engines().any(|e| e.engine.managed) && !engines().any(|e| e.engine.is_reported(now));
+        if !unheard {
+            return;
+        }
+        for entry in self.entries.values_mut() {
+            if *entry.engine.listing.service == *service {
+                entry.engine.managed = false;
+            }
+        }
+    }
+
+    fn reserve(&mut self, id: &Id, requirements: &Requirements<'_>, now: Instant) -> Choice {
+        let entry = self.entries.get_mut(id).expect("chosen engine is listed");
+        let engine = &mut entry.engine;
+        let speed = requirements.backend.speed.as_ref();
+        let expected_first_event = speed.map(|s| {
+            engine.time_to_first_event(s, requirements.prompt_tokens, requirements.place.hosts, now)
+        });
+        let choice = Choice {
+            reservation: Reservation {
+                id: id.clone(),
+                address: engine.listing.address,
+                generation: entry.generation,
+            },
+            data_centre: engine.listing.data_centre.clone(),
+            expected_first_event,
+            occupancy: engine.occupancy(requirements.place.hosts, now),
+            load_age: engine.load_age(now),
+        };
+        engine.start_request(now);
+        engine.outlier.record_send(now);
+        choice
+    }
+
+    /// Chooses among the engines that answer in time, weighted by the square of the time to spare:
+    /// first in this host's region, then in other regions, then among those whose planned model load
+    /// the request would delay. If there are none, chooses the fastest engine with enough free
+    /// slots. A resumed stream goes to any engine, however busy, the more likely the faster it is, and
+    /// first to those with a known load: all hosts resume streams at once when a region is lost.
+    fn choose_in_time(
+        &self,
+        suitable: &[Id],
+        requirements: &Requirements<'_>,
+        rng: &mut impl Rng,
+        now: Instant,
+    ) -> Option<Id> {
+        let speed = requirements.backend.speed.as_ref()?;
+        let answer_tokens = requirements.answer_tokens.unwrap_or(speed.mean_answer);
+        let duration = engine::decode_time(speed, answer_tokens);
+        let mut same_region = Vec::new();
+        let mut other_regions = Vec::new();
+        let mut delaying_load = Vec::new();
+        let (mut reported, mut unreported) = (Vec::new(), Vec::new());
+        let mut fastest: Option<(Duration, &Id)> = None;
+        for id in suitable {
+            let engine = &self.entries[id].engine;
+            if !requirements.resuming && !engine.has_capacity(requirements.place, now) {
+                continue;
+            }
+            let first_event = engine.time_to_first_event(
+                speed,
+                requirements.prompt_tokens,
+                requirements.place.hosts,
+                now,
+            ) + RELAY_TIME;
+            let spare = requirements
+                .time_left
+                .saturating_sub(first_event)
+                .as_secs_f64();
+            if engine.delays_planned_load(first_event, duration, now) {
+                delaying_load.push((id, spare * spare));
+            } else if *engine.listing.region == *requirements.region {
+                same_region.push((id, spare * spare));
+            } else {
+                other_regions.push((id, spare * spare));
+            }
+            if requirements.resuming {
+                let weight = 1.0 / first_event.as_secs_f64().powi(2);
+                if engine.is_reported(now) {
+                    reported.push((id, weight));
+                } else {
+                    unreported.push((id, weight));
+                }
+            }
+            let occupancy = f64::from(engine.occupancy(requirements.place.hosts, now));
+            let has_free_slots = occupancy < f64::from(speed.slots) * LATE_MAX_OCCUPANCY;
+            if has_free_slots && fastest.is_none_or(|(best, _)| first_event < best) {
+                fastest = Some((first_event, id));
+            }
+        }
+        if requirements.resuming {
+            return pick_weighted(&reported, rng)
+                .or_else(|| pick_weighted(&unreported, rng))
+                .cloned();
+        }
+        pick_weighted(&same_region, rng)
+            .or_else(|| pick_weighted(&other_regions, rng))
+            .or_else(|| pick_weighted(&delaying_load, rng))
+            .or_else(|| fastest.map(|(_, id)| id))
+            .cloned()
+    }
+
+    /// Chooses the less busy of two random engines whose queue is not full.
+    fn choose_less_busy(
+        &self,
+        suitable: &[Id],
+        requirements: &Requirements<'_>,
+        rng: &mut impl Rng,
+        now: Instant,
+    ) -> Option<Id> {
+        let usage = |id: &Id| {
+            let engine = &self.entries[id].engine;
+            let slots = engine.listing.slots.max(1);
+            (engine.occupancy(requirements.place.hosts, now), slots)
+        };
+        let has_room = |id: &&Id| {
+            let (occupancy, slots) = usage(id);
+            occupancy < slots * (1 + QUEUE_PER_SLOT)
+        };
+        let candidates: Vec<&Id> = suitable.iter().filter(has_room).collect();
+        if candidates.is_empty() {
+            return None;
+        }
+        let first = candidates[rng.random_range(0..candidates.len())];
+        let second = candidates[rng.random_range(0..candidates.len())];
+        let utilisation = |id: &Id| {
+            let (occupancy, slots) = usage(id);
+            f64::from(occupancy) / f64::from(slots)
+        };
+        let less_busy = if utilisation(second) < utilisation(first) {
+            second
+        } else {
+            first
+        };
+        Some(less_busy.clone())
+    }
+}
+
+/// Whether an engine may run the request, regardless of its load.
+fn is_eligible(
+    engine: &Engine,
+    requirements: &Requirements<'_>,
+    evacuated: &BTreeSet<DataCentre>,
+    now: Instant,
+) -> bool {
+    let listing = &engine.listing;
+    if listing.service != requirements.backend.name
+        || engine.is_leaving()
+        || engine.reported_unavailable(now)
+    {
+        return false;
+    }
+    if evacuated.contains(&listing.data_centre) || requirements.excluded.contains(&listing.id) {
+        return false;
+    }
+    if !catalog::region_allowed(
+        &listing.region,
+        &requirements.route.regions,
+        requirements.organisation_regions,
+    ) {
+        return false;
+    }
+    let Some(speed) = &requirements.backend.speed else {
+        return true;
+    };
+    let Some(version) = engine.version(now) else {
+        return false;
+    };
+    let newer = requirements.version_bounds.iter();
+    let bound = newer.filter(|b| b.version > version).map(|b| b.until).min();
+    bound.is_none_or(|until| {
+        let begin = engine.time_to_first_event(
+            speed,
+            requirements.prompt_tokens,
+            requirements.place.hosts,
+            now,
+        );
+        now + version_allowance(begin, engine.is_reported(now)) <= until
+    })
+}
+
+/// Time before the end of an older version's work at which an engine gets its last request, when one
+/// is expected to begin after `begin`.
+fn version_allowance(begin: Duration, reported: bool) -> Duration {
+    let least = if reported {
+        MIN_VERSION_ALLOWANCE
+    } else {
+        UNREPORTED_VERSION_ALLOWANCE
+    };
+    least.max(VERSION_MARGIN + begin.mul_f64(BEGIN_TIME_FACTOR))
+}
+
+/// Picks a random id by weight; none if all weights are zero.
+fn pick_weighted<'a>(weighted: &[(&'a Id, f64)], rng: &mut impl Rng) -> Option<&'a Id> {
+    let total: f64 = weighted.iter().map(|(_, weight)| weight).sum();
+    if total <= 0.0 {
+        return None;
+    }
+    let mut remaining = rng.random::<f64>() * total;
+    let mut picked = None;
+    for (id, weight) in weighted.iter().filter(|(_, weight)| *weight > 0.0) {
+        remaining -= weight;
+        picked = Some(*id);
+        if remaining < 0.0 {
+            break;
+        }
+    }
+    picked
+}
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         chunk::{Source, Step, Tier},
-        id::{DataCentre, Host, Region},
+        id::{self, DataCentre, Host, Region},
     },
     rand::Rng,
     std::{
@@ -48,6 +48,47 @@
     ))
 }
 
+/// Number of agents of the own region that are asked for reports on their pieces.
+const REGIONAL_SOURCES: usize = 16;
+/// Number of agents of each other region that are asked once a version is overdue.
+const REMOTE_SOURCES: usize = 2;
+
+/// Agents whose pieces matter to `own_host`: some of its region, those from which the plan has it
+/// fetch pieces into the region, and, if the version is overdue, some of the other regions. Their
+/// number does not grow with the fleet. `agents` holds the regions of the other agents.
+pub fn report_sources(
+    own_host: &str,
+    own_region: &str,
+    agents: &BTreeMap<&Host, &str>,
+    plan: &[Step],
+    overdue: bool,
+) -> BTreeSet<Host> {
+    let mut by_region: BTreeMap<&str, Vec<(u64, &Host)>> = BTreeMap::new();
+    for (host, region) in agents {
+        let rank = id::score(own_host.as_bytes(), host);
+        by_region.entry(region).or_default().push((rank, host));
+    }
+    let mut sources = BTreeSet::new();
+    for (region, mut ranked) in by_region {
+        let count = match region == own_region {
+            true => REGIONAL_SOURCES,
+            false if overdue => REMOTE_SOURCES,
+            false => 0,
+        };
+        ranked.sort_unstable();
+        let chosen = ranked.into_iter().take(count);
+        sources.extend(chosen.map(|(_, host)| host.clone()));
+    }
+    let led = plan.iter().filter(|step| step.tier == Tier::Region);
+    for source in led.flat_map(|step| &step.sources) {
+        if let Source::Peer(host) = source {
+            sources.insert(host.clone());
+        }
+    }
+    sources.remove(own_host);
+    sources
+}
+
 /// Location of another host and the pieces that it holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -5,9 +5,9 @@
 use {
     distribution::{PIECES, peers, steps},
     jayspread_core::{
-        chunk::{Peer, Source},
-        id::Host,
-        spread::{self, Holder, MAX_DOWNLOADS, Scheduler},
+        chunk::{Peer, Source, Step, Tier},
+        id::{Host, Region},
+        spread::{self, Holder, MAX_DOWNLOADS, Scheduler, report_sources},
     },
     proptest::prelude::*,
     rand::{SeedableRng, rngs::StdRng},
@@ -272,3 +272,56 @@
     let small_fleet = spread::report_interval(Duration::from_millis(60), 8);
     assert_eq!(small_fleet, Duration::from_millis(60));
 }
+
+/// Agents of five regions, 60 each.
+fn agents() -> Vec<(Host, Region)> {
+    let names = (0..300).map(|n| (format!("side-{n:03}"), format!("r{}", n % 5)));
+    names
+        .map(|(host, region)| (host.into(), region.into()))
+        .collect()
+}
+
+#[rstest]
+#[case::in_time(false, 16)]
+#[case::overdue(true, 16 + 4 * 2)]
+fn few_agents_are_asked_for_reports(#[case] overdue: bool, #[case] expected: usize) {
+    let agents = agents();
+    let regions = agents.iter().map(|(host, region)| (host, &**region));
+    let sources = report_sources("side-000", "r0", &regions.collect(), &[], overdue);
+    assert_eq!(sources.len(), expected);
+    assert!(!sources.contains("side-000"));
+    let regional = sources.iter().filter(|source| {
+        agents
+            .iter()
+            .any(|(host, region)| host == *source && **region == *"r0")
+    });
+    assert_eq!(regional.count(), 16);
+}
+
+/// An agent that brings a piece into its region asks those from which the plan has it fetch the piece.
+#[test]
+fn leader_of_a_piece_asks_where_it_comes_from() {
+    let agents = agents();
+    let regions = agents.iter().map(|(host, region)| (host, &**region));
+    let step = Step {
+        hash: [0; 32],
+        length: 1,
+        tier: Tier::Region,
+        sources: vec![Source::Peer("side-001".into()), Source::Origin],
+        probe_count: 0,
+    };
+    let led = report_sources(
+        "side-000",
+        "r0",
+        &regions.clone().collect(),
+        &[step.clone()],
+        false,
+    );
+    assert!(led.contains("side-001"));
+    let step = Step {
+        tier: Tier::Member,
+        ..step
+    };
+    let member = report_sources("side-000", "r0", &regions.collect(), &[step], false);
+    assert!(!member.contains("side-001"));
+}
