--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -314,7 +314,7 @@
         "side-000",
         "r0",
         &regions.clone().collect(),
-        &[step.clone()],
+        std::slice::from_ref(&step),
         false,
     );
     assert!(led.contains("side-001"));
