Log the version behind each choice of an engine, and the age of a version when it is learned

Ruled out: a new metric; the question is about single requests. Change: `sent` states the version of the engine and the time for which work on it may still begin; entry hosts log the age and the source of a version, also when a peer tells it.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -81,6 +81,10 @@
     pub occupancy: u32,
     /// Age of the latest known load, if any.
     pub load_age: Option<Duration>,
+    /// Version of the model that the engine serves, if any.
+    pub version: Option<u64>,
+    /// Time for which work on this version may still begin; `None` without a limit.
+    pub version_left: Option<Duration>,
 }
 
 struct Entry {
--- a/crates/core/src/placement/choice.rs
+++ b/crates/core/src/placement/choice.rs
@@ -117,6 +117,8 @@
         let expected_first_event = speed.map(|s| {
             engine.time_to_first_event(s, requirements.prompt_tokens, requirements.place.hosts, now)
         });
+        let version = engine.version(now);
+        let bound = version.and_then(|version| version_bound(version, requirements));
         let choice = Choice {
             reservation: Reservation {
                 id: id.clone(),
@@ -127,6 +129,8 @@
             expected_first_event,
             occupancy: engine.occupancy(requirements.place.hosts, now),
             load_age: engine.load_age(now),
+            version,
+            version_left: bound.map(|until| until.saturating_duration_since(now)),
         };
         engine.start_request(now);
         engine.outlier.record_send(now);
@@ -267,9 +271,7 @@
     let Some(version) = engine.version(now) else {
         return false;
     };
-    let newer = requirements.version_bounds.iter();
-    let bound = newer.filter(|b| b.version > version).map(|b| b.until).min();
-    bound.is_none_or(|until| {
+    version_bound(version, requirements).is_none_or(|until| {
         let begin = engine.time_to_first_event(
             speed,
             requirements.prompt_tokens,
@@ -280,6 +282,13 @@
     })
 }
 
+/// End of the time in which work on `version` may begin; `None` if no newer version is known.
+fn version_bound(version: u64, requirements: &Requirements<'_>) -> Option<Instant> {
+    let newer = requirements.version_bounds.iter();
+    let newer = newer.filter(|bound| bound.version > version);
+    newer.map(|bound| bound.until).min()
+}
+
 /// Time before the end of an older version's work at which an engine gets its last request, when one
 /// is expected to begin after `begin`.
 fn version_allowance(begin: Duration, reported: bool) -> Duration {
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -233,7 +233,8 @@
             self.trace_event(
                 "sent",
                 format_args!(
-                    "engine={} data_centre={} expected_ms={} occupancy={} load_age_ms={} send={}",
+                    "engine={} data_centre={} expected_ms={} occupancy={} load_age_ms={} \
+                     version={} version_left_ms={} send={}",
                     choice.reservation.id,
                     choice.data_centre,
                     choice
@@ -241,6 +242,10 @@
                         .map_or(0, |expected| expected.as_millis()),
                     choice.occupancy,
                     choice.load_age.map_or(-1, |age| age.as_millis() as i64),
+                    choice.version.unwrap_or(0),
+                    choice
+                        .version_left
+                        .map_or(-1, |left| left.as_millis() as i64),
                     self.call.sends() + 1
                 ),
             );
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -103,7 +103,16 @@
     for target in &entry.targets {
         let age = Duration::from_millis(target.age_ms);
         let set_at = clock::now().checked_sub(age).unwrap_or_else(clock::now);
-        lock(&state.targets).record(&target.model, target.version, set_at);
+        if lock(&state.targets).record(&target.model, target.version, set_at) {
+            event!(
+                Info,
+                "version_named",
+                model = target.model,
+                version = target.version,
+                age_ms = target.age_ms,
+                source = host
+            );
+        }
     }
     for engine in &entry.leaving_engines {
         if lock(&state.engines).set_leaving_by_id(engine) {
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -400,7 +400,14 @@
         }
         Change::Version { model, version } => {
             if lock(&state.targets).record(&model, version, clock::now()) {
-                event!(Info, "version_named", model = model, version = version);
+                event!(
+                    Info,
+                    "version_named",
+                    model = model,
+                    version = version,
+                    age_ms = 0,
+                    source = "records"
+                );
             }
             false
         }
