Entry hosts tell each other the superseded versions whose limits still matter

What callers saw: answers of version 1 up to 8.7 s after version 2 was acknowledged; 8 s are allowed. Cause: the store keeps the newest record of a key, and messages between hosts named the newest version only. A host that started again after versions 2 and 3 knew of version 3 alone, and gave engines that held version 1 the limit of version 3, 2 s later. Ruled out: a wait in the engine (the requests were sent after the limit); the age of version 3, which peers tell (version_left_ms in the test's log is that of version 3). Change: a target carries the versions named before it, with their ages, while their limits matter: none in the steady state. Entry hosts and agents record them; the earliest time known counts, as before.

--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -12,7 +12,7 @@
         id::{Host, Region},
         spread,
     },
-    jayspread_net::{clock, event, members},
+    jayspread_net::{clock, event, members, targets},
     jayspread_schema::peer::{Engine, Entry, Interest, Packet, Role, Spread, Target, packet::Body},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -156,10 +156,7 @@
         *current_source = Some(source);
     }
     drop(current_source);
-    let age = Duration::from_millis(target.age_ms);
-    let now = clock::now();
-    let announced_at = now.checked_sub(age).unwrap_or(now);
-    if lock(&shared.targets).record(&target.model, target.version, announced_at) {
+    if targets::learn(&mut lock(&shared.targets), target, clock::now()) {
         event!(
             Info,
             "version_named",
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -73,6 +73,15 @@
         targets.iter().map(bound).collect()
     }
 
+    /// Targets of a model, without those that a later one makes irrelevant because its own `limit`
+    /// has passed.
+    pub fn relevant(&self, model: &str, limit: Duration, now: Instant) -> &[Target] {
+        let targets = self.models.get(model).map_or(&[][..], Vec::as_slice);
+        let has_passed = |t: &Target| now.saturating_duration_since(t.set_at) >= limit;
+        let first = targets.iter().rposition(has_passed).unwrap_or(0);
+        &targets[first..]
+    }
+
     /// Models and their newest targets.
     pub fn iter(&self) -> impl Iterator<Item = (&Box<str>, Target)> {
         let newest = |(model, targets): (_, &Vec<Target>)| Some((model, *targets.last()?));
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -18,7 +18,7 @@
         placement::Table,
         reader,
     },
-    jayspread_net::{clock, event, members},
+    jayspread_net::{clock, event, members, targets},
     jayspread_platform::store::Topic,
     jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
     std::{
@@ -101,9 +101,7 @@
 /// fetches store records from it if this host is behind.
 fn handle_entry(state: &Arc<State>, entry: &Entry, host: &str, from: Ipv4Addr) {
     for target in &entry.targets {
-        let age = Duration::from_millis(target.age_ms);
-        let set_at = clock::now().checked_sub(age).unwrap_or_else(clock::now);
-        if lock(&state.targets).record(&target.model, target.version, set_at) {
+        if targets::learn(&mut lock(&state.targets), target, clock::now()) {
             event!(
                 Info,
                 "version_named",
@@ -229,7 +227,7 @@
         engines_end: offsets.engines.offset,
         era: offsets.operator.era,
         engines_era: offsets.engines.era,
-        targets: catalog.map_or_else(Vec::new, |catalog| targets(state, &catalog)),
+        targets: catalog.map_or_else(Vec::new, |catalog| encode_targets(state, &catalog)),
         store_lost: state.failing_topics.load(Ordering::Relaxed) > 0,
         news_root: String::new(),
         leaving_engines: leaving,
@@ -237,7 +235,7 @@
 }
 
 /// Versions that the engines of each service should serve.
-fn targets(state: &State, catalog: &Catalog) -> Vec<Target> {
+fn encode_targets(state: &State, catalog: &Catalog) -> Vec<Target> {
     let now = clock::now();
     let origin = catalog.origin();
     let (origin_address, origin_port) = match origin.map(|origin| origin.address) {
@@ -245,16 +243,19 @@
         _ => (0, 0),
     };
     let stranded = lock(&state.stranded).clone();
-    let mut targets = Vec::new();
+    let limit = state.settings.bounds.rollout_limit;
+    let mut encoded = Vec::new();
     for backend in catalog.services.values() {
         let Some(speed) = &backend.speed else {
             continue;
         };
-        let target = lock(&state.targets).newest(&speed.model);
+        let known = lock(&state.targets);
+        let relevant = known.relevant(&speed.model, limit, now);
+        let target = relevant.last();
         let age = target.map_or(Duration::ZERO, |target| {
             now.saturating_duration_since(target.set_at)
         });
-        targets.push(Target {
+        encoded.push(Target {
             service: backend.name.to_string(),
             model: speed.model.to_string(),
             // Engines serve version 1 until the operator requests another.
@@ -265,9 +266,10 @@
             origin_data_centre: origin
                 .map_or(String::new(), |origin| origin.data_centre.to_string()),
             no_regional_engine: stranded.contains(&backend.name),
+            superseded: targets::superseded(relevant, now),
         });
     }
-    targets
+    encoded
 }
 
 /// Sends probes and heartbeats and expires stale entries until the task is aborted.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod node;
 pub mod session;
 pub mod signal;
+pub mod targets;
 pub mod telemetry;
