A version of unknown age leaves older ones in use for 3 s only

What callers saw: after all hosts had started again, answers of a version whose limit had passed. Cause: a record of the store carries no time. A host that read a version for the first time, or after an outage, took that moment for the time at which the version was named; when all hosts started again 5 s after version 2, version 1 got 8 s more. Ruled out: the time of day as the time of a version (it jumps); a record of our own in the store for each version (a write that can be lost just then). Agents plan by the same times.

--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -161,7 +161,8 @@
             Info,
             "version_named",
             version = target.version,
-            age_ms = target.age_ms
+            age_ms = target.age_ms,
+            assumed = target.age_assumed
         );
         shared.target_updates.send_modify(|count| *count += 1);
     }
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -15,6 +15,20 @@
     pub version: u64,
     /// Earliest time by which this process knows that the target had been set.
     pub set_at: Instant,
+    /// Whether no process is known that saw the target being set; `set_at` is then the earliest time
+    /// that this process allows for.
+    pub assumed: bool,
+}
+
+impl Target {
+    /// Applies what another source says of the same version.
+    fn refine(&mut self, other: Self) {
+        match (self.assumed, other.assumed) {
+            (true, false) => *self = other,
+            (false, true) => {}
+            _ => self.set_at = self.set_at.min(other.set_at),
+        }
+    }
 }
 
 /// End of the time in which work may begin on versions older than this one.
@@ -33,14 +47,42 @@
 }
 
 impl Targets {
-    /// Records that a version was set as the target at `set_at` or earlier. Returns whether it is
-    /// newer than all targets known so far.
+    /// Records that a process saw how a version was set as the target, at `set_at` or earlier.
+    /// Returns whether it is newer than all targets known so far.
     pub fn record(&mut self, model: &str, version: u64, set_at: Instant) -> bool {
+        let assumed = false;
+        self.insert(
+            model,
+            Target {
+                version,
+                set_at,
+                assumed,
+            },
+        )
+    }
+
+    /// Records a version that was set at an unknown time, no earlier than `earliest`; a time that
+    /// some process knows takes precedence. Returns the same as [`Targets::record`].
+    pub fn assume(&mut self, model: &str, version: u64, earliest: Instant) -> bool {
+        let assumed = true;
+        self.insert(
+            model,
+            Target {
+                version,
+                set_at: earliest,
+                assumed,
+            },
+        )
+    }
+
+    fn insert(&mut self, model: &str, target: Target) -> bool {
         let targets = self.models.entry(model.into()).or_default();
-        let newest = targets.last().is_none_or(|last| version > last.version);
-        match targets.binary_search_by_key(&version, |t| t.version) {
-            Ok(index) => targets[index].set_at = targets[index].set_at.min(set_at),
-            Err(index) => targets.insert(index, Target { version, set_at }),
+        let newest = targets
+            .last()
+            .is_none_or(|last| target.version > last.version);
+        match targets.binary_search_by_key(&target.version, |t| t.version) {
+            Ok(index) => targets[index].refine(target),
+            Err(index) => targets.insert(index, target),
         }
         if targets.len() > MAX_TARGETS_PER_MODEL {
             targets.remove(0);
--- a/crates/core/tests/progress.rs
+++ b/crates/core/tests/progress.rs
@@ -16,6 +16,7 @@
     Target {
         version,
         set_at: Instant::now(),
+        assumed: false,
     }
 }
 
@@ -67,6 +68,7 @@
     let second = Target {
         version: 3,
         set_at: later,
+        assumed: false,
     };
     assert!(tracker.observe(second, 0, PIECES, time_after(later, 100)));
 }
--- a/crates/core/tests/schedule.rs
+++ b/crates/core/tests/schedule.rs
@@ -44,7 +44,11 @@
 }
 
 fn announced(version: u64, set_at: Instant) -> Target {
-    Target { version, set_at }
+    Target {
+        version,
+        set_at,
+        assumed: false,
+    }
 }
 
 #[test]
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -25,3 +25,21 @@
     assert_eq!(relevant(10), [3], "version 3 bars all that version 2 does");
     assert!(targets.relevant("other", LIMIT, start).is_empty());
 }
+
+/// Guards against taking the time at which a version was learned for the time at which it was named.
+#[test]
+fn time_that_some_process_knows_replaces_an_assumed_one_and_never_the_other_way() {
+    let start = Instant::now();
+    let seconds = Duration::from_secs;
+    let mut targets = Targets::default();
+    let until = |targets: &Targets| targets.bounds("m", LIMIT)[0].until - LIMIT - start;
+    assert!(targets.assume("m", 2, start + seconds(3)));
+    assert!(!targets.assume("m", 2, start + seconds(2)), "not newer");
+    assert_eq!(until(&targets), seconds(2), "the stricter assumption");
+    assert!(!targets.record("m", 2, start + seconds(6)));
+    assert_eq!(until(&targets), seconds(6), "a known time is later");
+    targets.assume("m", 2, start + seconds(1));
+    assert_eq!(until(&targets), seconds(6));
+    targets.record("m", 2, start + seconds(5));
+    assert_eq!(until(&targets), seconds(5), "the earliest known time");
+}
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -108,6 +108,7 @@
                 model = target.model,
                 version = target.version,
                 age_ms = target.age_ms,
+                assumed = target.age_assumed,
                 source = host
             );
         }
@@ -267,6 +268,7 @@
                 .map_or(String::new(), |origin| origin.data_centre.to_string()),
             no_regional_engine: stranded.contains(&backend.name),
             superseded: targets::superseded(relevant, now),
+            age_assumed: target.is_some_and(|target| target.assumed),
         });
     }
     encoded
--- a/crates/entry/src/front/peers.rs
+++ b/crates/entry/src/front/peers.rs
@@ -5,7 +5,7 @@
         front::{
             gossip,
             state::{Offsets, State},
-            watch,
+            watch::{self, Source},
         },
         shared::lock,
     },
@@ -289,9 +289,14 @@
     let grace = Duration::from_millis(records.lenient_ms.min(LISTING_GRACE.as_millis() as u64));
     let grace_until = (!grace.is_zero()).then(|| received + grace);
     let operator = records.operator.map(|topic| decode(topic, own.operator));
-    let operator_changes = operator.map_or(0, |b| watch::apply(state, Topic::Operator, b, None));
+    let source = Source::Snapshot;
+    let operator_changes = operator.map_or(0, |batch| {
+        watch::apply(state, Topic::Operator, batch, source, None)
+    });
     let engines = records.engines.map(|topic| decode(topic, own.engines));
-    let engine_changes = engines.map_or(0, |b| watch::apply(state, Topic::Engines, b, grace_until));
+    let engine_changes = engines.map_or(0, |batch| {
+        watch::apply(state, Topic::Engines, batch, source, grace_until)
+    });
     event!(
         Info,
         "records_from_peer",
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -55,6 +55,21 @@
 /// Time that a read may lag behind a peer before its connection is abandoned.
 const MAX_LAG: Duration = Duration::from_millis(300);
 
+/// Time from the start of this process, or from the end of an outage, for which a version that was
+/// named at an unknown time leaves older ones in use. A host that does not know better must not allow
+/// more: the version may be much older.
+const UNKNOWN_AGE_GRACE: Duration = Duration::from_secs(3);
+
+/// How this host came by records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// They arrived as they were written.
+    Changes,
+    /// They are the newest ones of their keys, or were written while this host did not follow the
+    /// store: they are of unknown age.
+    Snapshot,
+}
+
 /// Follows one topic.
 struct Watch {
     state: Arc<State>,
@@ -127,7 +142,7 @@
                         .observe(elapsed.as_secs_f64());
                     self.on_success();
                     self.truncated = false;
-                    self.apply(batch);
+                    self.apply(batch, Source::Snapshot);
                     return;
                 }
                 Err(cause) => self.on_failure(&cause).await,
@@ -163,13 +178,17 @@
             };
             match read {
                 Some(Ok(Read::Batch(batch))) => {
+                    let source = match self.outage {
+                        Some(_) => Source::Snapshot,
+                        None => Source::Changes,
+                    };
                     self.on_success();
                     let end = batch.end;
                     if with_mirror(&self.state, self.topic, |m| m.needs_complete(end)) {
                         self.truncated = true;
                         return;
                     }
-                    let changed = self.apply(batch) > 0;
+                    let changed = self.apply(batch, source) > 0;
                     if self.topic == Topic::Engines && changed {
                         time::sleep(BATCH_DELAY).await;
                     }
@@ -242,12 +261,12 @@
     }
 
     /// Applies records that the store has sent and passes on the news; returns the number of changes.
-    fn apply(&self, batch: Batch) -> usize {
+    fn apply(&self, batch: Batch, source: Source) -> usize {
         let grace_until = self
             .state
             .remaining_grace()
             .map(|remaining| clock::now() + remaining);
-        let changes = apply(&self.state, self.topic, batch, grace_until);
+        let changes = apply(&self.state, self.topic, batch, source, grace_until);
         if changes > 0 {
             gossip::pass_on_news(&self.state, &self.state.settings.host);
         }
@@ -307,8 +326,24 @@
 
 /// Applies records of a topic; returns the number of changes. An engine that is removed is kept
 /// until `grace_until`, if it is given, so that it can be listed again.
-pub fn apply(state: &State, topic: Topic, batch: Batch, grace_until: Option<Instant>) -> usize {
+pub fn apply(
+    state: &State,
+    topic: Topic,
+    batch: Batch,
+    source: Source,
+    grace_until: Option<Instant>,
+) -> usize {
     let now = clock::now();
+    let is_first = next_position(state, topic).is_none();
+    let versions_named_at = match source {
+        Source::Changes => Named::At(now),
+        Source::Snapshot => {
+            let followed_since = if is_first { state.started } else { now };
+            let limit = state.settings.bounds.rollout_limit;
+            let earliest = (followed_since + UNKNOWN_AGE_GRACE).checked_sub(limit);
+            earliest.map_or(Named::At(now), Named::Since)
+        }
+    };
     let end = batch.end;
     let is_older = |key: &str, value: &Bytes, other: &Bytes| record::is_older(key, value, other);
     let applied = with_mirror(state, topic, |mirror| mirror.apply(batch, is_older, now));
@@ -324,7 +359,7 @@
         state.metrics.store_era.set(end.era as i64);
     }
     match topic {
-        Topic::Operator => apply_operator(state, &applied.changes),
+        Topic::Operator => apply_operator(state, &applied.changes, versions_named_at),
         Topic::Engines if applied.new_era => {
             apply_copied_engines(state, &applied.changes, now + ERA_GRACE);
         }
@@ -340,7 +375,7 @@
         for record in &expired {
             event!(Warn, "record_not_written_again", key = record.key);
         }
-        apply_operator(self, &expired);
+        apply_operator(self, &expired, Named::At(now));
     }
 }
 
@@ -359,15 +394,24 @@
     apply_engines(state, &lacking, Some(grace_until));
 }
 
+/// When the versions in a batch of records were named.
+#[derive(Debug, Clone, Copy)]
+enum Named {
+    /// About this time.
+    At(Instant),
+    /// At an unknown time, for which this is the earliest that counts.
+    Since(Instant),
+}
+
 /// Applies changed records of the operator.
-fn apply_operator(state: &State, changes: &[Record]) {
+fn apply_operator(state: &State, changes: &[Record], named: Named) {
     if changes.is_empty() {
         return;
     }
     let mut evacuations_changed = false;
     for record in changes {
         match record::parse_change(&record.key, record.value.as_deref()) {
-            Ok(change) => evacuations_changed |= apply_change(state, change),
+            Ok(change) => evacuations_changed |= apply_change(state, change, named),
             Err(cause) => report_malformed(state, record, &cause),
         }
     }
@@ -378,7 +422,7 @@
 }
 
 /// Applies one change; returns true if the set of evacuated data centres may have changed.
-fn apply_change(state: &State, change: Change) -> bool {
+fn apply_change(state: &State, change: Change, named: Named) -> bool {
     match change {
         Change::Catalog(catalog) => {
             let mut current = lock(&state.catalog);
@@ -399,13 +443,20 @@
             false
         }
         Change::Version { model, version } => {
-            if lock(&state.targets).record(&model, version, clock::now()) {
+            let mut targets = lock(&state.targets);
+            let (is_newest, set_at, assumed) = match named {
+                Named::At(at) => (targets.record(&model, version, at), at, false),
+                Named::Since(at) => (targets.assume(&model, version, at), at, true),
+            };
+            drop(targets);
+            if is_newest {
                 event!(
                     Info,
                     "version_named",
                     model = model,
                     version = version,
-                    age_ms = 0,
+                    age_ms = clock::now().saturating_duration_since(set_at).as_millis(),
+                    assumed = assumed,
                     source = "records"
                 );
             }
--- a/crates/net/src/targets.rs
+++ b/crates/net/src/targets.rs
@@ -9,14 +9,19 @@
 /// Records the versions that an entry host tells; returns whether the newest one is newer than all
 /// versions known so far.
 pub fn learn(targets: &mut Targets, told: &Target, now: Instant) -> bool {
-    let set_at = |age_ms| {
+    let mut insert = |version, age_ms, age_assumed| {
         let age = Duration::from_millis(age_ms);
-        now.checked_sub(age).unwrap_or(now)
+        let set_at = now.checked_sub(age).unwrap_or(now);
+        if age_assumed {
+            targets.assume(&told.model, version, set_at)
+        } else {
+            targets.record(&told.model, version, set_at)
+        }
     };
     for earlier in &told.superseded {
-        targets.record(&told.model, earlier.version, set_at(earlier.age_ms));
+        insert(earlier.version, earlier.age_ms, earlier.age_assumed);
     }
-    targets.record(&told.model, told.version, set_at(told.age_ms))
+    insert(told.version, told.age_ms, told.age_assumed)
 }
 
 /// Encodes the targets that were set before the newest one, for a message that is sent at `now`.
@@ -24,6 +29,7 @@
     let encode = |target: &target::Target| Superseded {
         version: target.version,
         age_ms: now.saturating_duration_since(target.set_at).as_millis() as u64,
+        age_assumed: target.assumed,
     };
     let earlier = targets.split_last().map_or(&[][..], |(_, earlier)| earlier);
     earlier.iter().map(encode).collect()
