--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -97,11 +97,15 @@
     trace.add(
         "received",
         format_args!(
-            "route={} kind={:?} organisation={} prompt={} timeout_ms={} caller_retry={} revision={}",
+            "route={} kind={:?} organisation={} prompt={} parts={} timeout_ms={} \
+             caller_retry={} revision={}",
             route.name,
             route.kind,
-            organisation.as_ref().map_or("none", |organisation| &organisation.name),
+            organisation
+                .as_ref()
+                .map_or("none", |organisation| &organisation.name),
             request.prompt_tokens,
+            request.shared_parts.join(","),
             timeout.as_millis(),
             is_caller_retry,
             catalog.revision
