Quarantine of prompt parts that crash engines: state and decisions

Cause: entry hosts keep no record of which prompt parts were in the requests that ended an engine, so requests with such a part go on reaching engines. Nothing calls the new module yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outlier;
 pub mod placement;
 pub mod progress;
+pub mod quarantine;
 pub mod ramp;
 pub mod reader;
 pub mod retry;
--- /dev/null
+++ b/crates/core/src/quarantine.rs
@@ -0,0 +1,430 @@
+//! Quarantine of prompt parts that crash engines.
+//!
+//! A prompt consists of parts that requests share. Every entry host records which parts were in the
+//! requests that an engine was answering when it ended, and which parts were answered completely.
+//! Hosts exchange these records by gossip. A part is suspect if several engine instances ended on it,
+//! no answer to it was completed in the meantime, and no other part explains the same crashes better.
+//! A part that stays suspect for a short time is quarantined: requests with it are refused. A
+//! completed answer, known to any host, clears a part that was suspected by mistake.
+
+mod record;
+
+use {
+    self::record::Record,
+    crate::id::score,
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet},
+        time::{Duration, Instant},
+    },
+};
+
+/// Hash of a prompt part.
+pub type Part = u64;
+/// Hash of an engine instance that ended.
+pub type Crash = u64;
+
+/// Number of crashed instances from which a part is suspect.
+const SUSPECT_CRASHES: usize = 3;
+/// Lifetime of a crash, and so of a quarantine.
+const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// Shortest interval between two answers with the completion of the same part, and smallest
+/// difference between two completions of a part that are passed on.
+const ANSWER_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which old records are removed.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of calls of [`Ledger::news`] that return the same news. Once is not enough: a push to three
+/// random hosts a round leaves a few hosts uninformed.
+const NEWS_REPEATS: u8 = 3;
+/// Largest number of records.
+const MAX_RECORDS: usize = 8_192;
+/// Number of records that are removed at once when there are too many.
+const EVICTION_BATCH: usize = 1_024;
+/// Largest number of crashes of a part, in a record and in a statement. It exceeds the number of
+/// engines that end before a quarantine takes effect, so that these crashes stay explained.
+const MAX_CRASHES: usize = 32;
+/// Largest number of parts among which crashes are attributed.
+const MAX_CANDIDATES: usize = 64;
+
+/// Hash of the prompt part with this id.
+pub fn part(id: &str) -> Part {
+    score(b"prompt part", id)
+}
+
+/// Hash of the engine instance with this id.
+pub fn crash(engine_instance: &str) -> Crash {
+    score(b"engine crash", engine_instance)
+}
+
+/// Decision about a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// No part is quarantined.
+    Accept,
+    /// A part is quarantined; this request tests whether it still crashes engines. It must not be
+    /// retried.
+    Probe,
+    /// A part is quarantined.
+    Refuse {
+        /// The quarantined part.
+        part: Part,
+        /// Time until the quarantine ends if no more engines crash.
+        retry_after: Duration,
+    },
+}
+
+/// Change of the quarantine of a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// The part became quarantined.
+    Quarantined(Part),
+    /// The quarantine of the part ended.
+    Cleared(Part),
+}
+
+/// What a host tells others about a part. Times are ages, as hosts have no common clock.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Statement {
+    /// The part.
+    pub part: Part,
+    /// Engine instances that ended on the part, with the age of each crash.
+    pub crashes: Vec<(Crash, Duration)>,
+    /// Age of the newest completed answer.
+    pub completed: Option<Duration>,
+}
+
+/// Records of a host about prompt parts.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    records: BTreeMap<Part, Record>,
+    /// Parts with enough crashes to be suspect unless other parts explain them, most crashes first.
+    candidates: BTreeSet<(Reverse<usize>, Part)>,
+    /// Parts that are suspect, as their records say.
+    suspects: BTreeSet<Part>,
+    /// Parts whose statement is news, and how often it is to be sent.
+    unsent: BTreeMap<Part, u8>,
+    /// Quarantined parts as of the last call of [`Ledger::changes`].
+    reported: BTreeSet<Part>,
+    expired_at: Option<Instant>,
+}
+
+impl Ledger {
+    /// Records that `engine` ended while it began to answer a request with these parts.
+    pub fn record_crash(&mut self, parts: &[Part], engine: &str, now: Instant) {
+        self.expire_if_due(now);
+        let crash = crash(engine);
+        let mut changed = false;
+        for part in parts {
+            if self.record(*part).insert_crash(crash, now) {
+                self.unsent.insert(*part, NEWS_REPEATS);
+                changed |= self.update_candidate(*part);
+            }
+        }
+        if changed {
+            self.attribute(now);
+        }
+    }
+
+    /// Records that an engine completed the answer to a request with these parts. An answer that ends
+    /// with its connection is complete only if its content shows it.
+    pub fn record_completion(&mut self, parts: &[Part], now: Instant) {
+        self.expire_if_due(now);
+        let mut changed = false;
+        for part in parts {
+            if self.record(*part).complete(now) {
+                self.state_completion(*part, now);
+                changed |= self.update_candidate(*part);
+            }
+        }
+        if changed {
+            self.attribute(now);
+        }
+    }
+
+    /// Decides whether a request with these parts may be sent to an engine; to be called before each
+    /// attempt. `is_prober` tells whether this host probes a part.
+    pub fn check(
+        &mut self,
+        parts: &[Part],
+        is_prober: impl Fn(Part) -> bool,
+        now: Instant,
+    ) -> Verdict {
+        self.expire_if_due(now);
+        let mut verdict = Verdict::Accept;
+        for part in parts {
+            let Some(record) = self.records.get(part) else {
+                continue;
+            };
+            if !record.is_quarantined(now) {
+                continue;
+            }
+            if !record.probe_due(now) || !is_prober(*part) {
+                return Verdict::Refuse {
+                    part: *part,
+                    retry_after: record.remaining(now),
+                };
+            }
+            verdict = Verdict::Probe;
+        }
+        if verdict == Verdict::Probe {
+            for part in parts {
+                if let Some(record) = self.records.get_mut(part)
+                    && record.is_quarantined(now)
+                {
+                    record.probed_at = Some(now);
+                }
+            }
+        }
+        verdict
+    }
+
+    /// Takes in what another host states; returns true if it is news, which [`Ledger::news`] then
+    /// passes on.
+    pub fn merge(&mut self, statement: &Statement, now: Instant) -> bool {
+        self.expire_if_due(now);
+        let part = statement.part;
+        let completed_at = statement
+            .completed
+            .filter(|age| *age < QUARANTINE_TIME)
+            .and_then(|age| now.checked_sub(age));
+        let crashes: Vec<(Crash, Instant)> = statement
+            .crashes
+            .iter()
+            .take(MAX_CRASHES)
+            .filter(|(_, age)| *age < QUARANTINE_TIME)
+            .filter_map(|(crash, age)| Some((*crash, now.checked_sub(*age)?)))
+            .collect();
+        if completed_at.is_none() && crashes.is_empty() {
+            return false;
+        }
+        let record = self.record(part);
+        let cleared = completed_at.is_some_and(|at| record.complete(at));
+        let mut added = false;
+        let mut refuted = false;
+        for (crash, at) in crashes {
+            refuted |= record.refutes(at);
+            added |= record.insert_crash(crash, at);
+        }
+        record.refuted |= refuted;
+        // A host that does not need a completion still passes it on to the host that does.
+        let advances = completed_at.is_some_and(|at| {
+            record
+                .stated_completion
+                .is_none_or(|stated| at >= stated + ANSWER_INTERVAL)
+        });
+        let answers = refuted
+            && record
+                .answered_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= ANSWER_INTERVAL);
+        if answers {
+            record.answered_at = Some(now);
+        }
+        if cleared || advances || answers {
+            self.state_completion(part, now);
+        }
+        if added {
+            self.unsent.insert(part, NEWS_REPEATS);
+        }
+        if (added || cleared) && self.update_candidate(part) {
+            self.attribute(now);
+        }
+        added || cleared || advances
+    }
+
+    /// Takes in the [`Ledger::statements`] of another host. The confirmation time has passed there, so
+    /// that the suspect parts among them are quarantined at once.
+    pub fn adopt(&mut self, statements: &[Statement], now: Instant) {
+        for statement in statements {
+            self.merge(statement, now);
+        }
+        for statement in statements {
+            if let Some(record) = self.records.get_mut(&statement.part) {
+                record.confirm(now);
+            }
+        }
+    }
+
+    /// Returns at most `max` statements that are to be sent to other hosts in this round of gossip.
+    pub fn news(&mut self, max: usize, now: Instant) -> Vec<Statement> {
+        self.expire_if_due(now);
+        self.unsent
+            .retain(|part, _| self.records.contains_key(part));
+        let mut parts: Vec<Part> = self.unsent.keys().copied().collect();
+        parts.sort_by_key(|part| Reverse(self.records.get(part).map(Record::weight)));
+        parts.truncate(max);
+        let mut statements = Vec::with_capacity(parts.len());
+        for part in parts {
+            if let Some(repeats) = self.unsent.get_mut(&part) {
+                *repeats -= 1;
+                if *repeats == 0 {
+                    self.unsent.remove(&part);
+                }
+            }
+            if let Some(record) = self.records.get_mut(&part) {
+                record.stated_completion = record.completed_at;
+                statements.push(record.statement(part, now));
+            }
+        }
+        statements
+    }
+
+    /// Returns at most `max` statements about quarantined parts, for a host that has just started and
+    /// passes them to [`Ledger::adopt`].
+    pub fn statements(&self, max: usize, now: Instant) -> Vec<Statement> {
+        let mut suspects: Vec<(&Part, &Record)> = self
+            .suspects()
+            .filter(|(_, record)| record.is_quarantined(now))
+            .collect();
+        suspects.sort_by_key(|(_, record)| Reverse(record.crashes.len()));
+        suspects
+            .into_iter()
+            .take(max)
+            .map(|(part, record)| record.statement(*part, now))
+            .collect()
+    }
+
+    /// Removes crashes and completions that are too old to matter.
+    pub fn expire(&mut self, now: Instant) {
+        self.expired_at = Some(now);
+        let mut expired = Vec::new();
+        for (part, record) in &mut self.records {
+            let before = record.crashes.len();
+            record
+                .crashes
+                .retain(|_, at| now.saturating_duration_since(*at) < QUARANTINE_TIME);
+            if record.crashes.len() < before {
+                expired.push(*part);
+            }
+        }
+        let mut changed = false;
+        for part in expired {
+            changed |= self.update_candidate(part);
+        }
+        self.records.retain(|_, record| !record.is_old(now));
+        if changed {
+            self.attribute(now);
+        }
+    }
+
+    /// Quarantined parts.
+    pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = Part> {
+        self.suspects()
+            .filter(move |(_, record)| record.is_quarantined(now))
+            .map(|(part, _)| *part)
+    }
+
+    /// Parts that became quarantined or were cleared since the last call.
+    pub fn changes(&mut self, now: Instant) -> Vec<Change> {
+        self.expire_if_due(now);
+        let current: BTreeSet<Part> = self.quarantined(now).collect();
+        let begun = current.difference(&self.reported).copied();
+        let ended = self.reported.difference(&current).copied();
+        let changes = begun
+            .map(Change::Quarantined)
+            .chain(ended.map(Change::Cleared))
+            .collect();
+        self.reported = current;
+        changes
+    }
+
+    fn suspects(&self) -> impl Iterator<Item = (&Part, &Record)> {
+        self.suspects
+            .iter()
+            .filter_map(|part| self.records.get_key_value(part))
+    }
+
+    fn record(&mut self, part: Part) -> &mut Record {
+        if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&part) {
+            self.evict();
+        }
+        self.records.entry(part).or_default()
+    }
+
+    /// Removes the oldest records, those without crashes first and candidates last.
+    fn evict(&mut self) {
+        let mut order: Vec<(usize, Option<Instant>, Part)> = self
+            .records
+            .iter()
+            .map(|(part, record)| (record.crashes.len(), record.updated_at(), *part))
+            .collect();
+        order.sort_unstable();
+        for (_, _, part) in order.into_iter().take(EVICTION_BATCH) {
+            if let Some(record) = self.records.remove(&part) {
+                self.candidates.remove(&(Reverse(record.rank), part));
+            }
+            self.suspects.remove(&part);
+            self.unsent.remove(&part);
+        }
+    }
+
+    /// Makes the completion of a part news.
+    fn state_completion(&mut self, part: Part, now: Instant) {
+        let record = self.record(part);
+        record.answered_at = Some(now);
+        record.stated_completion = record.completed_at;
+        self.unsent.insert(part, NEWS_REPEATS);
+    }
+
+    /// Returns true if the part is or was a candidate, so that crashes must be attributed again.
+    fn update_candidate(&mut self, part: Part) -> bool {
+        let Some(record) = self.records.get_mut(&part) else {
+            return false;
+        };
+        let was_candidate = self.candidates.remove(&(Reverse(record.rank), part));
+        record.rank = record.crashes.len();
+        let is_candidate = record.rank >= SUSPECT_CRASHES;
+        if is_candidate {
+            self.candidates.insert((Reverse(record.rank), part));
+        }
+        was_candidate || is_candidate
+    }
+
+    /// Finds the suspect parts: the part with the most crashes explains these, and only the crashes
+    /// that are left count against the other parts.
+    fn attribute(&mut self, now: Instant) {
+        let mut candidates: Vec<(Part, BTreeSet<Crash>)> = self
+            .candidates
+            .iter()
+            .take(MAX_CANDIDATES)
+            .filter_map(|(_, part)| {
+                let record = self.records.get(part)?;
+                Some((*part, record.crashes.keys().copied().collect()))
+            })
+            .collect();
+        let mut suspects = BTreeSet::new();
+        while let Some((part, explained)) = candidates
+            .iter()
+            .filter(|(_, crashes)| crashes.len() >= SUSPECT_CRASHES)
+            .min_by_key(|(part, crashes)| (Reverse(crashes.len()), *part))
+            .cloned()
+        {
+            suspects.insert(part);
+            for (_, crashes) in &mut candidates {
+                crashes.retain(|crash| !explained.contains(crash));
+            }
+        }
+        for part in self.suspects.difference(&suspects) {
+            if let Some(record) = self.records.get_mut(part) {
+                record.suspect_since = None;
+                record.probed_at = None;
+            }
+        }
+        for part in suspects.difference(&self.suspects) {
+            if let Some(record) = self.records.get_mut(part) {
+                record.suspect_since = Some(now);
+                // Hosts that know a completion answer this statement within the confirmation time.
+                self.unsent.insert(*part, NEWS_REPEATS);
+            }
+        }
+        self.suspects = suspects;
+    }
+
+    fn expire_if_due(&mut self, now: Instant) {
+        if self
+            .expired_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= EXPIRY_INTERVAL)
+        {
+            self.expire(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine/record.rs
@@ -0,0 +1,152 @@
+//! What a host knows of one prompt part.
+
+use {
+    super::{Crash, MAX_CRASHES, Part, QUARANTINE_TIME, SUSPECT_CRASHES, Statement},
+    std::{
+        cmp::Reverse,
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Number of crashed instances from which a part is no longer probed.
+const CERTAIN_CRASHES: usize = 5;
+/// Time for which a part must be suspect without a break before it is quarantined; within it other
+/// hosts can state completions.
+const CONFIRMATION: Duration = Duration::from_millis(300);
+/// Interval of probes of a quarantined part.
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for which a completed answer refutes later crashes of its parts.
+const COMPLETION_MEMORY: Duration = Duration::from_secs(30);
+
+/// What is known of a part. Crashes that a completion refutes are removed, so all of these count.
+#[derive(Debug, Default)]
+pub(super) struct Record {
+    pub(super) crashes: BTreeMap<Crash, Instant>,
+    /// Newest known completed answer, from any host.
+    pub(super) completed_at: Option<Instant>,
+    /// Whether a completion refuted a crash; it is then kept as long as a crash.
+    pub(super) refuted: bool,
+    /// Time of the completion that was stated last.
+    pub(super) stated_completion: Option<Instant>,
+    /// When a completion was last stated in answer to a refuted crash.
+    pub(super) answered_at: Option<Instant>,
+    /// Number of crashes by which the record is ranked among the candidates.
+    pub(super) rank: usize,
+    pub(super) suspect_since: Option<Instant>,
+    pub(super) probed_at: Option<Instant>,
+}
+
+impl Record {
+    pub(super) fn refutes(&self, crashed_at: Instant) -> bool {
+        self.completed_at
+            .is_some_and(|at| crashed_at < at + COMPLETION_MEMORY)
+    }
+
+    /// Inserts a crash unless it is refuted; returns true if it was not known.
+    pub(super) fn insert_crash(&mut self, crash: Crash, at: Instant) -> bool {
+        if self.refutes(at) {
+            return false;
+        }
+        if let Some(known) = self.crashes.get_mut(&crash) {
+            *known = at.min(*known);
+            return false;
+        }
+        self.crashes.insert(crash, at);
+        // The same crashes remain whatever the order in which they were learnt.
+        while self.crashes.len() > MAX_CRASHES {
+            let Some((removed, _)) = self.crashes.pop_last() else {
+                break;
+            };
+            if removed == crash {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Removes the crashes that a completion refutes; returns true if there were any.
+    pub(super) fn complete(&mut self, at: Instant) -> bool {
+        self.completed_at = self.completed_at.max(Some(at));
+        let before = self.crashes.len();
+        let refuted_before = at + COMPLETION_MEMORY;
+        self.crashes
+            .retain(|_, crashed_at| *crashed_at >= refuted_before);
+        let removed = self.crashes.len() < before;
+        self.refuted |= removed;
+        removed
+    }
+
+    fn quarantined_at(&self) -> Option<Instant> {
+        self.suspect_since.map(|since| since + CONFIRMATION)
+    }
+
+    /// Ends the confirmation time of a suspect part.
+    pub(super) fn confirm(&mut self, now: Instant) {
+        if let (Some(since), Some(confirmed)) = (self.suspect_since, now.checked_sub(CONFIRMATION))
+        {
+            self.suspect_since = Some(since.min(confirmed));
+        }
+    }
+
+    pub(super) fn is_quarantined(&self, now: Instant) -> bool {
+        self.quarantined_at().is_some_and(|at| at <= now)
+    }
+
+    /// Time until too few crashes are left for a suspicion.
+    pub(super) fn remaining(&self, now: Instant) -> Duration {
+        let mut times: Vec<Instant> = self.crashes.values().copied().collect();
+        times.sort_unstable_by_key(|at| Reverse(*at));
+        times.get(SUSPECT_CRASHES - 1).map_or(Duration::ZERO, |at| {
+            (*at + QUARANTINE_TIME).saturating_duration_since(now)
+        })
+    }
+
+    pub(super) fn probe_due(&self, now: Instant) -> bool {
+        self.crashes.len() < CERTAIN_CRASHES
+            && self
+                .probed_at
+                .max(self.quarantined_at())
+                .is_some_and(|since| now >= since + PROBE_INTERVAL)
+    }
+
+    pub(super) fn updated_at(&self) -> Option<Instant> {
+        self.completed_at.max(self.crashes.values().max().copied())
+    }
+
+    pub(super) fn is_old(&self, now: Instant) -> bool {
+        let lifetime = if self.refuted {
+            QUARANTINE_TIME
+        } else {
+            COMPLETION_MEMORY
+        };
+        self.crashes.is_empty()
+            && self
+                .completed_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= lifetime)
+    }
+
+    pub(super) fn statement(&self, part: Part, now: Instant) -> Statement {
+        Statement {
+            part,
+            crashes: self
+                .crashes
+                .iter()
+                .map(|(crash, at)| (*crash, now.saturating_duration_since(*at)))
+                .collect(),
+            completed: self
+                .completed_at
+                .map(|at| now.saturating_duration_since(at)),
+        }
+    }
+
+    /// Order of statements when not all can be sent. A refutation concerns a part that may be suspect
+    /// elsewhere.
+    pub(super) fn weight(&self) -> usize {
+        if self.crashes.is_empty() {
+            SUSPECT_CRASHES
+        } else {
+            self.crashes.len()
+        }
+    }
+}
