Test that later crashes of a quarantined part stay explained

Cause: with at most 8 crashes a record, a part that ended more engines before its quarantine left crashes unexplained. Ruled out: a fault of the present limit of 32; the test passes on it. Change: a unit test.

--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -410,3 +410,16 @@
     assert!(accepts(&mut young, &[sound], later + CONFIRMATION));
     assert!(young.check(&[bad], |_| true, later + ms(60_000)) != Verdict::Probe);
 }
+
+/// Guards against blaming sound parts for the crashes that happen before a quarantine takes effect.
+#[test]
+fn crashes_after_the_first_ones_are_unexplained() {
+    let now = start();
+    let mut ledger = Ledger::default();
+    let (bad, rare) = (part("bad"), part("rare"));
+    crash_on(&mut ledger, &[bad], 0..20, now);
+    crash_on(&mut ledger, &[rare], 0..20, now + ms(10));
+    crash_on(&mut ledger, &[bad], 20..25, now + ms(20));
+    let later = now + ms(1_000);
+    assert_eq!(ledger.quarantined(later).collect::<Vec<_>>(), [bad]);
+}
