Entry host: applying the store's records is a module of its own

Ruled out: leaving the list of engines in watch.rs; peers' records are applied by the same functions. Change: front/records.rs; nothing else.

--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -1,7 +1,7 @@
 //! Entry host on the users' platform: an HTTP proxy that sends callers' requests to engines.
 //!
 //! `listener` accepts connections, `relay` handles requests, and `exchange` sends them to engines
-//! through `upstream`. `watch` follows the platform's store; `gossip` and `peers` communicate with
+//! through `upstream`. `watch` follows the platform's store, and `records` applies what it says; `gossip` and `peers` communicate with
 //! the other processes.
 
 mod body;
@@ -13,6 +13,7 @@
 mod pool;
 mod problem;
 mod process;
+mod records;
 mod relay;
 mod state;
 mod stream;
--- a/crates/entry/src/front/peers.rs
+++ b/crates/entry/src/front/peers.rs
@@ -4,8 +4,8 @@
     crate::{
         front::{
             gossip,
+            records::{self, Source},
             state::{Offsets, State},
-            watch::{self, Source},
         },
         shared::lock,
     },
@@ -291,11 +291,11 @@
     let operator = records.operator.map(|topic| decode(topic, own.operator));
     let source = Source::Snapshot;
     let operator_changes = operator.map_or(0, |batch| {
-        watch::apply(state, Topic::Operator, batch, source, None)
+        records::apply(state, Topic::Operator, batch, source, None)
     });
     let engines = records.engines.map(|topic| decode(topic, own.engines));
     let engine_changes = engines.map_or(0, |batch| {
-        watch::apply(state, Topic::Engines, batch, source, grace_until)
+        records::apply(state, Topic::Engines, batch, source, grace_until)
     });
     event!(
         Info,
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -6,32 +6,27 @@
 
 use {
     crate::{
-        front::{gossip, state::State},
+        front::{
+            gossip,
+            records::{self, Source, next_position, topic_name, with_mirror},
+            state::State,
+        },
         metrics,
         shared::lock,
     },
-    bytes::Bytes,
-    jayspread_core::{
-        mirror::{Batch, Mirror, Position, Record},
-        placement::LISTING_GRACE,
-    },
+    jayspread_core::{mirror::Batch, placement::LISTING_GRACE},
     jayspread_net::{clock, event},
     jayspread_platform::{
         Error,
-        record::{self, Change},
         store::{Client, Read, Topic},
     },
     std::{
-        collections::BTreeSet,
         sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
     },
     tokio::time,
 };
 
-/// Time after the store came back from a copy for which engines that the copy lacks stay listed. They
-/// write their entries again with their next beats.
-const ERA_GRACE: Duration = Duration::from_secs(4);
 /// Maximum wait of one long poll.
 const POLL_WAIT: Duration = Duration::from_millis(15_000);
 /// Pause before the next read of the list of engines, so that changes in quick succession take one
@@ -55,21 +50,6 @@
 /// Time that a read may lag behind a peer before its connection is abandoned.
 const MAX_LAG: Duration = Duration::from_millis(300);
 
-/// Time from the start of this process, or from the end of an outage, for which a version that was
-/// named at an unknown time leaves older ones in use. A host that does not know better must not allow
-/// more: the version may be much older.
-const UNKNOWN_AGE_GRACE: Duration = Duration::from_secs(3);
-
-/// How this host came by records.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Source {
-    /// They arrived as they were written.
-    Changes,
-    /// They are the newest ones of their keys, or were written while this host did not follow the
-    /// store: they are of unknown age.
-    Snapshot,
-}
-
 /// Follows one topic.
 struct Watch {
     state: Arc<State>,
@@ -266,7 +246,7 @@
             .state
             .remaining_grace()
             .map(|remaining| clock::now() + remaining);
-        let changes = apply(&self.state, self.topic, batch, source, grace_until);
+        let changes = records::apply(&self.state, self.topic, batch, source, grace_until);
         if changes > 0 {
             gossip::pass_on_news(&self.state, &self.state.settings.host);
         }
@@ -303,241 +283,3 @@
         }
     }
 }
-
-fn topic_name(topic: Topic) -> &'static str {
-    match topic {
-        Topic::Operator => "operator",
-        Topic::Engines => "engines",
-    }
-}
-
-/// Calls `visit` with the locked mirror of a topic.
-fn with_mirror<T>(state: &State, topic: Topic, visit: impl FnOnce(&mut Mirror) -> T) -> T {
-    let mut mirrors = lock(&state.mirrors);
-    match topic {
-        Topic::Engines => visit(&mut mirrors.engines),
-        Topic::Operator => visit(&mut mirrors.operator),
-    }
-}
-
-fn next_position(state: &State, topic: Topic) -> Option<Position> {
-    with_mirror(state, topic, |mirror| mirror.next())
-}
-
-/// Applies records of a topic; returns the number of changes. An engine that is removed is kept
-/// until `grace_until`, if it is given, so that it can be listed again.
-pub fn apply(
-    state: &State,
-    topic: Topic,
-    batch: Batch,
-    source: Source,
-    grace_until: Option<Instant>,
-) -> usize {
-    let now = clock::now();
-    let is_first = next_position(state, topic).is_none();
-    let versions_named_at = match source {
-        Source::Changes => Named::At(now),
-        Source::Snapshot => {
-            let followed_since = if is_first { state.started } else { now };
-            let limit = state.settings.bounds.rollout_limit;
-            let earliest = (followed_since + UNKNOWN_AGE_GRACE).checked_sub(limit);
-            earliest.map_or(Named::At(now), Named::Since)
-        }
-    };
-    let end = batch.end;
-    let is_older = |key: &str, value: &Bytes, other: &Bytes| record::is_older(key, value, other);
-    let applied = with_mirror(state, topic, |mirror| mirror.apply(batch, is_older, now));
-    if applied.new_era {
-        event!(
-            Warn,
-            "store_era",
-            topic = topic_name(topic),
-            era = end.era,
-            offset = end.offset,
-            changes = applied.changes.len()
-        );
-        state.metrics.store_era.set(end.era as i64);
-    }
-    match topic {
-        Topic::Operator => apply_operator(state, &applied.changes, versions_named_at),
-        Topic::Engines if applied.new_era => {
-            apply_copied_engines(state, &applied.changes, now + ERA_GRACE);
-        }
-        Topic::Engines => apply_engines(state, &applied.changes, grace_until),
-    }
-    applied.changes.len()
-}
-
-impl State {
-    /// Drops what stayed in force after the store came back from a copy and was not written again.
-    pub fn expire_held(&self, now: Instant) {
-        let expired = with_mirror(self, Topic::Operator, |mirror| mirror.expire_held(now));
-        for record in &expired {
-            event!(Warn, "record_not_written_again", key = record.key);
-        }
-        apply_operator(self, &expired, Named::At(now));
-    }
-}
-
-/// Applies the list of engines as a copy of the store holds it: engines that it lacks are kept until
-/// `grace_until`, and those that were removed before do not come back by it.
-fn apply_copied_engines(state: &State, changes: &[Record], grace_until: Instant) {
-    let listed = changes.iter().filter(|record| record.value.is_some());
-    let (departed, listed): (Vec<Record>, Vec<Record>) = listed
-        .cloned()
-        .partition(|record| lock(&state.engines).has_departed(&record.key));
-    for record in departed {
-        event!(Info, "engine_listed_by_copy", engine = record.key);
-    }
-    let lacking = with_mirror(state, Topic::Engines, Mirror::release_held);
-    apply_engines(state, &listed, None);
-    apply_engines(state, &lacking, Some(grace_until));
-}
-
-/// When the versions in a batch of records were named.
-#[derive(Debug, Clone, Copy)]
-enum Named {
-    /// About this time.
-    At(Instant),
-    /// At an unknown time, for which this is the earliest that counts.
-    Since(Instant),
-}
-
-/// Applies changed records of the operator.
-fn apply_operator(state: &State, changes: &[Record], named: Named) {
-    if changes.is_empty() {
-        return;
-    }
-    let mut evacuations_changed = false;
-    for record in changes {
-        match record::parse_change(&record.key, record.value.as_deref()) {
-            Ok(change) => evacuations_changed |= apply_change(state, change, named),
-            Err(cause) => report_malformed(state, record, &cause),
-        }
-    }
-    if evacuations_changed {
-        update_evacuations(state);
-    }
-    state.heartbeat_due.notify_one();
-}
-
-/// Applies one change; returns true if the set of evacuated data centres may have changed.
-fn apply_change(state: &State, change: Change, named: Named) -> bool {
-    match change {
-        Change::Catalog(catalog) => {
-            let mut current = lock(&state.catalog);
-            let is_newer = current
-                .as_ref()
-                .is_none_or(|current| catalog.revision > current.revision);
-            if is_newer {
-                event!(
-                    Info,
-                    "configuration",
-                    revision = catalog.revision,
-                    routes = catalog.routes.values().map(Vec::len).sum::<usize>(),
-                    keys = catalog.organisations_by_key.len()
-                );
-                state.metrics.revision.set(catalog.revision);
-                *current = Some(catalog);
-            }
-            false
-        }
-        Change::Version { model, version } => {
-            let mut targets = lock(&state.targets);
-            let (is_newest, set_at, assumed) = match named {
-                Named::At(at) => (targets.record(&model, version, at), at, false),
-                Named::Since(at) => (targets.assume(&model, version, at), at, true),
-            };
-            drop(targets);
-            if is_newest {
-                event!(
-                    Info,
-                    "version_named",
-                    model = model,
-                    version = version,
-                    age_ms = clock::now().saturating_duration_since(set_at).as_millis(),
-                    assumed = assumed,
-                    source = "records"
-                );
-            }
-            false
-        }
-        Change::Evacuation {
-            data_centre,
-            active,
-        } => {
-            event!(Info, "evacuation", data_centre = data_centre, out = active);
-            true
-        }
-        Change::Other => false,
-    }
-}
-
-/// Recomputes the evacuated data centres from all records of the operator.
-fn update_evacuations(state: &State) {
-    let mirrors = lock(&state.mirrors);
-    let present = mirrors.operator.values();
-    let evacuated: BTreeSet<_> = present
-        .filter_map(|(key, _)| record::evacuated_data_centre(key))
-        .map(Into::into)
-        .collect();
-    lock(&state.engines).set_evacuated(evacuated);
-}
-
-/// Applies changes of the list of engines. A removed engine is kept until `grace_until`, if it is
-/// given, so that it can be listed again; otherwise it is dropped at once.
-fn apply_engines(state: &State, changes: &[Record], grace_until: Option<Instant>) {
-    let now = clock::now();
-    for record in changes {
-        let Some(value) = &record.value else {
-            if lock(&state.engines).remove_listing(&record.key, grace_until, now) {
-                event!(
-                    Info,
-                    "engine_unlisted",
-                    engine = record.key,
-                    grace = grace_until.is_some()
-                );
-            }
-            continue;
-        };
-        match record::parse_engine(&record.key, value, &state.settings.regions) {
-            Ok(listing) => list_engine(state, listing, now),
-            Err(cause) => {
-                report_malformed(state, record, &cause);
-                lock(&state.engines).remove_listing(&record.key, None, now);
-            }
-        }
-    }
-    state.has_engine_list.store(true, Ordering::Relaxed);
-}
-
-fn list_engine(state: &State, listing: jayspread_core::engine::Listing, now: Instant) {
-    let id = listing.id.clone();
-    let (address, draining) = (listing.address, listing.draining);
-    let version = listing.loaded.as_ref().map_or(0, |loaded| loaded.version);
-    let cold_ms = listing.cold_remaining.as_millis();
-    let service = listing.service.clone();
-    let is_new = lock(&state.engines).add_listing(listing, now);
-    event!(
-        Info,
-        "engine_listed",
-        engine = id,
-        new = is_new,
-        service = service,
-        address = address,
-        draining = draining,
-        version = version,
-        cold_ms = cold_ms
-    );
-}
-
-fn report_malformed(state: &State, record: &Record, cause: &Error) {
-    state.metrics.malformed_records.inc();
-    event!(
-        Warn,
-        "record_unreadable",
-        key = record.key,
-        offset = record.offset,
-        reason = cause
-    );
-}
