Channel: bound the line of a chunk size

A chunk size may be followed by an extension. The channel buffered that line until its end, so an engine that sends an extension without end took memory until the deadline. A line of more than 4 KiB is malformed now.

--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -26,6 +26,8 @@
 const MAX_HEADERS: usize = 64;
 /// Maximum size of a response head, bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum size of a chunk size line with its extensions, bytes.
+const MAX_CHUNK_LINE_BYTES: usize = 4 << 10;
 /// Buffer space reserved for each read, bytes.
 const READ_RESERVE_BYTES: usize = 8 << 10;
 /// Time for which sent data may stay unacknowledged before the kernel closes the connection.
@@ -344,6 +346,9 @@
                 };
                 Ok(true)
             }
+            Ok(httparse::Status::Partial) if self.incoming.len() > MAX_CHUNK_LINE_BYTES => {
+                Err(Error::Malformed("chunk size line is too long"))
+            }
             Ok(httparse::Status::Partial) => Ok(false),
             Err(_) => Err(Error::Malformed("invalid chunk size")),
         }
--- a/crates/net/tests/channel.rs
+++ b/crates/net/tests/channel.rs
@@ -132,6 +132,20 @@
     assert!(!channel.is_reusable(TIMEOUT));
 }
 
+/// Bytes without end must not be buffered or skipped for ever.
+#[rstest]
+#[case::chunk_extension(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", b"x")]
+#[tokio::test]
+async fn bytes_without_end_are_malformed(
+    #[case] start: &'static [u8],
+    #[case] repeated: &'static [u8],
+) {
+    let response = [start, &repeated.repeat(10_000)].concat();
+    let (_, body) = exchange(response.leak(), false).await;
+    let error = body.expect_err("response has no end");
+    assert!(matches!(error, Error::Malformed(_)), "{error}");
+}
+
 #[tokio::test]
 async fn refused_connection_is_reported_as_unsent() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
