Channel: bound the number of informational responses

The channel skipped informational responses for ever, so an engine that sends them without end held a non-idempotent request until its deadline, at full speed. After 16 of them the response is malformed.

bytes_without_end_are_malformed::informational_responses failed before and passes now.

--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -28,6 +28,8 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum size of a chunk size line with its extensions, bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 4 << 10;
+/// Maximum number of informational responses before a response.
+const MAX_INFORMATIONAL_RESPONSES: usize = 16;
 /// Buffer space reserved for each read, bytes.
 const READ_RESERVE_BYTES: usize = 8 << 10;
 /// Time for which sent data may stay unacknowledged before the kernel closes the connection.
@@ -175,11 +177,16 @@
     }
 
     async fn read_head(&mut self) -> Result<Head, Error> {
+        let mut informational_count = 0;
         loop {
             if let Some(head) = self.parse_head()? {
                 if !head.status.is_informational() {
                     return Ok(head);
                 }
+                informational_count += 1;
+                if informational_count > MAX_INFORMATIONAL_RESPONSES {
+                    return Err(Error::Malformed("too many informational responses"));
+                }
                 continue;
             }
             if self.incoming.len() > MAX_HEAD_BYTES {
--- a/crates/net/tests/channel.rs
+++ b/crates/net/tests/channel.rs
@@ -135,6 +135,7 @@
 /// Bytes without end must not be buffered or skipped for ever.
 #[rstest]
 #[case::chunk_extension(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", b"x")]
+#[case::informational_responses(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n")]
 #[tokio::test]
 async fn bytes_without_end_are_malformed(
     #[case] start: &'static [u8],
