Front: do not wait for the body of a refusal without a limit

After the head of a refusal the front read its body, to keep the connection usable, with a bound on its size but none on time. A body that trickles held the request for hours, beyond its deadline: the timeout of an attempt covers the wait for the head only. The body gets 20 ms now, then the connection is closed.

bytes_without_end_are_cut_off::refusal (platform/tests/answers.rs): no response within nine minutes before, when the run was ended; 22 ms (non-idempotent), 65 ms (idempotent) and 150 ms (whole stream) now, on loopback.

--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -32,6 +32,8 @@
 const RESPONSIVE_STALL_FACTOR: f64 = 4.0;
 /// Maximum size of a response body that is read and discarded to keep the connection usable.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
+/// Time for which the body of a refusal is awaited to keep the connection usable.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// Reason why an attempt gave no usable response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -219,7 +221,8 @@
                 Outcome::Rejected
             };
             self.permit.set_outcome(outcome, "not_run");
-            if self.channel.receive_body(MAX_DISCARDED_BYTES).await.is_ok() {
+            let body = self.channel.receive_body(MAX_DISCARDED_BYTES);
+            if matches!(time::timeout(REFUSAL_BODY_TIMEOUT, body).await, Ok(Ok(_))) {
                 self.release();
             }
             return Err(Failure::NotExecuted(status));
