Front: bound the number of responses to other requests

While the front awaited a response, it discarded any number of responses with other ids, so an engine that sends them without end held a non-idempotent request until its deadline. After 16 of them the attempt has failed.

bytes_without_end_are_cut_off::responses (platform/tests/answers.rs), for a non-idempotent request: failed before, 502 after 1 ms now, on loopback.

--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -34,6 +34,8 @@
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// Time for which the body of a refusal is awaited to keep the connection usable.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
+/// Maximum number of responses to other requests that are discarded while one is awaited.
+const MAX_UNEXPECTED_RESPONSES: usize = 16;
 
 /// Reason why an attempt gave no usable response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -285,6 +287,7 @@
     channel: &mut Channel,
     request_id: &str,
 ) -> Result<(Head, wire::Response), Error> {
+    let mut unexpected_count = 0;
     loop {
         let head = channel.receive_head().await?;
         let metadata = wire::parse_response(head.status.as_u16(), &head.headers);
@@ -296,6 +299,10 @@
                     request = request_id,
                     response_for = response_id
                 );
+                unexpected_count += 1;
+                if unexpected_count > MAX_UNEXPECTED_RESPONSES {
+                    return Err(Error::Malformed("too many responses to other requests"));
+                }
                 channel.receive_body(MAX_DISCARDED_BYTES).await?;
             }
             None if !metadata.not_executed => {
