Streams: comments and blank lines are not events

An engine that sends only these without end began the response, was relayed to the caller without a bound, and never counted as stalled. Such bytes belong to the next event now, so they count towards its maximum size, and the stall check sees that no event comes. Those after the last event are relayed at the end; a blank line there no longer makes a stream look broken.

--- a/crates/core/src/sse.rs
+++ b/crates/core/src/sse.rs
@@ -5,7 +5,7 @@
 /// Maximum number of bytes buffered for an event; a stream with a longer event is cut off.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// A complete event, including the blank line that ends it.
+/// A complete event, including the blank line that ends it and comments and blank lines before it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
     /// Value of the `id` field, if it is a number.
@@ -24,6 +24,8 @@
     buffer: BytesMut,
     /// Length of the prefix that was searched and contains no end of an event.
     scanned: usize,
+    /// Length of the prefix that has only comments and blank lines.
+    comments: usize,
 }
 
 impl Splitter {
@@ -38,8 +40,14 @@
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = self.event_end()?;
-        self.scanned = 0;
+        let end = loop {
+            let end = self.event_end()?;
+            if has_field(&self.buffer[self.comments..end]) {
+                break end;
+            }
+            (self.scanned, self.comments) = (end, end);
+        };
+        (self.scanned, self.comments) = (0, 0);
         let bytes = self.buffer.split_to(end).freeze();
         let id = field(&bytes, b"id").and_then(parse_id);
         Some(Event { id, bytes })
@@ -49,13 +57,20 @@
     pub fn discard(&mut self) -> bool {
         let partial = !self.buffer.is_empty();
         self.buffer.advance(self.buffer.len());
-        self.scanned = 0;
+        (self.scanned, self.comments) = (0, 0);
         partial
     }
 
-    /// Whether no partial event is buffered.
+    /// Whether no partial event is buffered; comments and blank lines belong to none.
     pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+        self.buffer.len() == self.comments
+    }
+
+    /// Removes and returns the comments and blank lines after the last event.
+    pub fn take_comments(&mut self) -> Bytes {
+        let bytes = self.buffer.split_to(self.comments).freeze();
+        (self.scanned, self.comments) = (0, 0);
+        bytes
     }
 
     /// Length of the first event, up to and including its blank line.
@@ -81,6 +96,13 @@
     }
 }
 
+/// Whether any line is neither blank nor a comment.
+fn has_field(lines: &[u8]) -> bool {
+    lines
+        .split(|byte| *byte == b'\n')
+        .any(|line| !line.starts_with(b":") && !line.trim_ascii().is_empty())
+}
+
 /// Value of the first field called `name`.
 fn field<'a>(event: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
--- a/crates/core/tests/sse.rs
+++ b/crates/core/tests/sse.rs
@@ -49,6 +49,18 @@
     assert!(splitter.is_empty());
 }
 
+/// Comments and blank lines must not count as events, or a stream that has only these never stalls.
+#[test]
+fn comments_and_blank_lines_are_no_events() {
+    let (events, complete) = split(&[b": a\n\n\n\n:", b" b\n\nid: 1\ndata: x\n\n: c\n\n"]);
+    assert!(complete);
+    assert_eq!(events.len(), 1);
+    assert_eq!(
+        &events[0].bytes[..],
+        b": a\n\n\n\n: b\n\nid: 1\ndata: x\n\n"
+    );
+}
+
 #[test]
 fn overlong_event_is_rejected() {
     let mut splitter = Splitter::default();
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -142,7 +142,7 @@
         event.bytes
     }
 
-    fn finish(&mut self, mut stream: Stream) -> Option<Result<Bytes, Aborted>> {
+    fn finish(&mut self, mut stream: Stream) {
         stream
             .response
             .permit
@@ -159,7 +159,6 @@
             "streamed",
             format_args!("events={events} longest_pause_ms={pause} took_ms={elapsed}"),
         );
-        None
     }
 
     fn abort(&mut self, reason: &'static str) -> Option<Result<Bytes, Aborted>> {
@@ -205,7 +204,11 @@
                     self.stream = Some(stream);
                     return Some(Ok(bytes.freeze()));
                 }
-                Next::End => return self.finish(stream),
+                Next::End => {
+                    let comments = stream.splitter.take_comments();
+                    self.finish(stream);
+                    return (!comments.is_empty()).then_some(Ok(comments));
+                }
                 Next::Deadline => return self.abort("deadline"),
                 Next::Broken(reason) => {
                     if self.resume(stream, reason).await.is_err() {
