Versions written while a host did not read the store have an unknown age

Cause: the first read of a host that takes over the store counted as news, so that a version that had been named before got its time from that read, and as a known one it replaced stricter assumed times. Hosts without any version also told version 1 with a known age of 0. Ruled out: taking the time of the last reader's records; a host that only hears of records does not know when a reader read last. Change: records count as news only while the host has read the topic without a gap; the first read after one does not wait. Version 1 as a default is told with an assumed age.

--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -268,7 +268,7 @@
                 .map_or(String::new(), |origin| origin.data_centre.to_string()),
             no_regional_engine: stranded.contains(&backend.name),
             superseded: targets::superseded(relevant, now),
-            age_assumed: target.is_some_and(|target| target.assumed),
+            age_assumed: target.is_none_or(|target| target.assumed),
         });
     }
     encoded
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -59,6 +59,9 @@
     outage: Option<(Instant, u32)>,
     /// The store no longer has the records at the next offset.
     truncated: bool,
+    /// The last read succeeded, and this host has read the topic since. Otherwise the next records
+    /// may have been written at any time.
+    follows: bool,
 }
 
 /// Follows a topic until the task is aborted.
@@ -70,6 +73,7 @@
         client,
         outage: None,
         truncated: false,
+        follows: false,
     };
     watch.wait_for_peers().await;
     loop {
@@ -122,6 +126,7 @@
                         .observe(elapsed.as_secs_f64());
                     self.on_success();
                     self.truncated = false;
+                    self.follows = true;
                     self.apply(batch, Source::Snapshot);
                     return;
                 }
@@ -141,11 +146,12 @@
                 .unwrap_or_default()
                 .offset;
             // After a failure, do not wait for changes: any response shows that the store is
-            // reachable.
-            let wait = if self.outage.is_some() {
-                Duration::ZERO
-            } else {
+            // reachable. The same after a time without reads, so that what was written in it is not
+            // taken for news.
+            let wait = if self.follows {
                 POLL_WAIT
+            } else {
+                Duration::ZERO
             };
             let read = tokio::select! {
                 read = self.client.read(self.topic, from, wait) => Some(read),
@@ -153,15 +159,18 @@
                 () = enough_readers(&self.state) => {
                     event!(Info, "stops_reading_store", topic = topic_name(self.topic));
                     self.clear_outage();
+                    self.follows = false;
                     return;
                 }
             };
             match read {
                 Some(Ok(Read::Batch(batch))) => {
-                    let source = match self.outage {
-                        Some(_) => Source::Snapshot,
-                        None => Source::Changes,
+                    let source = if self.follows {
+                        Source::Changes
+                    } else {
+                        Source::Snapshot
                     };
+                    self.follows = true;
                     self.on_success();
                     let end = batch.end;
                     if with_mirror(&self.state, self.topic, |m| m.needs_complete(end)) {
@@ -222,6 +231,7 @@
     }
 
     async fn on_failure(&mut self, cause: &Error) {
+        self.follows = false;
         metrics::count(&self.state.metrics.store_calls, cause.name());
         let (_, failed_calls) = self.outage.get_or_insert((clock::now(), 0));
         *failed_calls += 1;
