Dropping the oldest of many targets keeps its limit

Cause: of more than eight targets of a model the oldest was dropped, and engines that hold an older version got the limit of the next one, which ends later. Ruled out: more room; any number can be exceeded. Change: the next target takes over the time of the dropped one.

--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -5,7 +5,8 @@
     time::{Duration, Instant},
 };
 
-/// Number of targets kept per model. Only the oldest is dropped, and no newer one is less strict.
+/// Number of targets kept per model. The oldest is dropped; the next one takes over its time, which
+/// is stricter for engines that hold a version between the two.
 const MAX_TARGETS_PER_MODEL: usize = 8;
 
 /// A version that the operator wants to be served.
@@ -85,7 +86,8 @@
             Err(index) => targets.insert(index, target),
         }
         if targets.len() > MAX_TARGETS_PER_MODEL {
-            targets.remove(0);
+            let dropped = targets.remove(0);
+            targets[0].set_at = targets[0].set_at.min(dropped.set_at);
         }
         newest
     }
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -43,3 +43,19 @@
     targets.record("m", 2, start + seconds(5));
     assert_eq!(until(&targets), seconds(5), "the earliest known time");
 }
+
+/// Guards against more time for an old version because many newer ones were named.
+#[test]
+fn many_versions_do_not_extend_the_limit_of_the_first() {
+    let start = Instant::now();
+    let mut targets = Targets::default();
+    for version in 2..=20 {
+        targets.record("m", version, start + Duration::from_millis(100 * version));
+    }
+    let first = targets
+        .bounds("m", LIMIT)
+        .into_iter()
+        .map(|b| b.until)
+        .min();
+    assert_eq!(first, Some(start + Duration::from_millis(200) + LIMIT));
+}
