Agents follow a better time of the version that they load

Cause: an agent copied the time of a version when it first heard of it. If a host that had just started told it an assumed, earlier time, the engine took its turn to load too early, beside the others. Ruled out: a wrong order of versions; only turns are affected. Change: the time of the current target is refreshed from what is known. Measured: no test of its own; the roll-out tests of the path pass with it.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -180,6 +180,13 @@
             return;
         };
         self.start_fetch(newest);
+        // Hosts may state a better time of the same version later.
+        if let Some(target) = self.target.as_mut()
+            && target.version == newest.version
+        {
+            *target = newest;
+            return;
+        }
         if self
             .target
             .is_some_and(|target| !self.should_replace(target, newest))
