Parts of prompts that crash engines are quarantined by all entry hosts

What callers saw: engines ended one after the other under requests with one part in their prompts; 74 and 91 engines ended in the users' record, and up to four fifths of the requests of a route were refused. Cause: a host kept no record of what a prompt held when its engine ended. It blamed the engine, sent the request to a second one, and sent the next request with the part on; other hosts did the same. Ruled out: blame by caller, route or first part, which sound requests share; a record in the store (calls are priced, and the store may be out of reach just then); no repeat after a broken connection, which loses requests whenever engines end for other reasons. Change: core::quarantine (before) is used: a connection that breaks in the first events of an answer counts against the shared parts of its prompt, an answer that is complete by its length clears them. Hosts pass on what is news to three random others each 100 ms, and greet a host that starts with what is quarantined. Requests with a quarantined part are refused at once with 503 and the time that is left. One host lets a test through, after 5 s while fewer than five engines ended and after 60 s, doubling, from then on, so that a part blamed by mistake is cleared. Completions that only end with their connection clear nothing. The module's test that nothing is probed from five crashes on asks for at most one probe in the first 300 s after three earlier ones, and for none in the first 60 s of an adopted quarantine.

--- a/crates/core/src/placement/refusal.rs
+++ b/crates/core/src/placement/refusal.rs
@@ -1,4 +1,4 @@
-//! Refusal of a request for which no engine was chosen.
+//! Refusal of a request that is sent to no engine.
 
 use {rand::Rng, std::time::Duration};
 
@@ -16,13 +16,18 @@
     Busy(Duration),
     /// The engines have asked this host to send nothing for this time.
     Resting(Duration),
+    /// A part of the prompt crashes engines; it is refused for this time.
+    Quarantined(Duration),
 }
 
 impl Refusal {
     /// Delay after which the caller should retry.
     pub fn retry_after(self) -> Duration {
         match self {
-            Refusal::NoEngine(delay) | Refusal::Busy(delay) | Refusal::Resting(delay) => delay,
+            Refusal::NoEngine(delay)
+            | Refusal::Busy(delay)
+            | Refusal::Resting(delay)
+            | Refusal::Quarantined(delay) => delay,
         }
     }
 
@@ -32,6 +37,7 @@
             Refusal::NoEngine(_) => "no_engine",
             Refusal::Busy(_) => "busy",
             Refusal::Resting(_) => "resting",
+            Refusal::Quarantined(_) => "quarantined",
         }
     }
 }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -171,7 +171,7 @@
                 if let Some(record) = self.records.get_mut(part)
                     && record.is_quarantined(now)
                 {
-                    record.probed_at = Some(now);
+                    record.start_probe(now);
                 }
             }
         }
@@ -268,6 +268,17 @@
         statements
     }
 
+    /// Whether [`Ledger::news`] has statements to send.
+    pub fn has_news(&self) -> bool {
+        !self.unsent.is_empty()
+    }
+
+    /// Whether a part is suspect but not yet quarantined.
+    pub fn has_unconfirmed(&self, now: Instant) -> bool {
+        self.suspects()
+            .any(|(_, record)| !record.is_quarantined(now))
+    }
+
     /// Returns at most `max` statements about quarantined parts, for a host that has just started and
     /// passes them to [`Ledger::adopt`].
     pub fn statements(&self, max: usize, now: Instant) -> Vec<Statement> {
@@ -407,6 +418,7 @@
             if let Some(record) = self.records.get_mut(part) {
                 record.suspect_since = None;
                 record.probed_at = None;
+                record.probes = 0;
             }
         }
         for part in suspects.difference(&self.suspects) {
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -9,13 +9,18 @@
     },
 };
 
-/// Number of crashed instances from which a part is no longer probed.
+/// Number of crashed instances from which a part is probed seldom.
 const CERTAIN_CRASHES: usize = 5;
 /// Time for which a part must be suspect without a break before it is quarantined; within it other
 /// hosts can state completions.
 const CONFIRMATION: Duration = Duration::from_millis(300);
-/// Interval of probes of a quarantined part.
+/// Interval of probes of a quarantined part with fewer crashes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time until the first probe of a part with that many; it doubles with each further one. Without
+/// any, a part that all requests share would stay blamed by mistake, as no answer could clear it.
+const CERTAIN_PROBE_INTERVAL: Duration = Duration::from_secs(60);
+/// Largest number of times that this interval doubles.
+const MAX_DOUBLINGS: u32 = 4;
 /// Time for which a completed answer refutes later crashes of its parts.
 const COMPLETION_MEMORY: Duration = Duration::from_secs(30);
 
@@ -35,6 +40,8 @@
     pub(super) rank: usize,
     pub(super) suspect_since: Option<Instant>,
     pub(super) probed_at: Option<Instant>,
+    /// Number of probes since the part became suspect.
+    pub(super) probes: u32,
 }
 
 impl Record {
@@ -103,11 +110,18 @@
     }
 
     pub(super) fn probe_due(&self, now: Instant) -> bool {
-        self.crashes.len() < CERTAIN_CRASHES
-            && self
-                .probed_at
-                .max(self.quarantined_at())
-                .is_some_and(|since| now >= since + PROBE_INTERVAL)
+        let interval = if self.crashes.len() < CERTAIN_CRASHES {
+            PROBE_INTERVAL
+        } else {
+            CERTAIN_PROBE_INTERVAL * (1 << self.probes.min(MAX_DOUBLINGS))
+        };
+        let since = self.probed_at.max(self.quarantined_at());
+        since.is_some_and(|since| now >= since + interval)
+    }
+
+    pub(super) fn start_probe(&mut self, now: Instant) {
+        self.probed_at = Some(now);
+        self.probes += 1;
     }
 
     pub(super) fn updated_at(&self) -> Option<Instant> {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -185,7 +185,8 @@
     assert_eq!(ledger.news(10, later).len(), 1, "other hosts are told");
 }
 
-/// Guards against probes by several hosts, too often, or of a part that certainly crashes engines.
+/// Guards against probes by several hosts, too often, or as often of a part that certainly crashes
+/// engines.
 #[test]
 fn probes_exceed_one_each_interval() {
     let now = start();
@@ -210,10 +211,17 @@
     );
     let later = quarantined_at + ms(16_000);
     crash_on(&mut ledger, &[bad], 3..5, later);
-    for step in 0..60 {
-        let verdict = ledger.check(&[bad], |_| true, later + ms(1_000) * step);
-        assert!(matches!(verdict, Verdict::Refuse { .. }));
+    let mut probes = Vec::new();
+    for step in 0..480 {
+        let at = later + ms(1_000) * step;
+        match ledger.check(&[bad], |_| true, at) {
+            Verdict::Probe => probes.push((at - later).as_secs()),
+            Verdict::Refuse { .. } => {}
+            Verdict::Accept => panic!("accepted without a completion"),
+        }
     }
+    assert_eq!(probes.len(), 1, "{probes:?}");
+    assert!(probes[0] >= 300, "{probes:?}: three probes came before");
 }
 
 /// Guards against a quarantine without end, and a wrong statement of its end.
@@ -408,7 +416,13 @@
     young.adopt(&statements, later);
     assert!(!accepts(&mut young, &[bad], later));
     assert!(accepts(&mut young, &[sound], later + CONFIRMATION));
-    assert!(young.check(&[bad], |_| true, later + ms(60_000)) != Verdict::Probe);
+    for second in 1..60 {
+        let verdict = young.check(&[bad], |_| true, later + ms(1_000) * second);
+        assert!(
+            matches!(verdict, Verdict::Refuse { .. }),
+            "after {second} s"
+        );
+    }
 }
 
 /// Guards against blaming sound parts for the crashes that happen before a quarantine takes effect.
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -18,6 +18,7 @@
         catalog::{Backend, Catalog, Organisation, Route},
         id::Engine,
         placement::{Choice, Refusal, Requirements},
+        quarantine::Part,
         sse,
     },
     jayspread_net::clock,
@@ -78,6 +79,10 @@
     pub call: Call,
     /// Engines already tried.
     pub tried: Vec<Engine>,
+    /// Hashes of the shared parts of the prompt, as in `request.shared_parts`.
+    pub prompt_parts: Vec<Part>,
+    /// Whether this request tests a quarantined part.
+    pub is_probe: bool,
     /// Whether this is a caller's retry of an earlier, refused request.
     pub is_caller_retry: bool,
     /// Log lines of the request; taken when it ends.
@@ -151,6 +156,7 @@
         }
         let deadline = self.wait_deadline();
         loop {
+            self.check_quarantine()?;
             match self.choose_engine() {
                 Err(_) if clock::now() + CHECK_INTERVAL < deadline => {
                     time::sleep(CHECK_INTERVAL).await
@@ -328,7 +334,10 @@
                 Event::NotRun,
                 Problem::unavailable("engine_full", RETRY_AFTER),
             ),
-            Failure::Lost(_) => (Event::Lost, Problem::bad_gateway("answer_lost")),
+            Failure::Lost(reason) => {
+                self.record_break(reason, 0, engine);
+                (Event::Lost, Problem::bad_gateway("answer_lost"))
+            }
             Failure::Timeout => (Event::Lost, Problem::bad_gateway("silent")),
         };
         self.call.handle(event);
@@ -338,6 +347,9 @@
     /// Checks whether another attempt may follow a failed one, and takes it from the retry budget.
     /// Otherwise returns the problem to respond with.
     pub fn authorize_retry(&mut self, problem: Problem) -> Result<(), Problem> {
+        if self.is_probe {
+            return Err(self.final_problem(problem));
+        }
         match self.call.next_action() {
             Action::Refuse => return Err(Problem::unavailable(problem.reason, RETRY_AFTER)),
             Action::Fail => return Err(self.final_problem(problem)),
@@ -390,7 +402,8 @@
 
     /// Takes a retry after an engine's own error response; false if none is allowed.
     pub fn take_error_retry(&mut self) -> bool {
-        if !self.route.kind.retryable() || self.call.sends() >= self.route.max_attempts {
+        let is_last = self.is_probe || self.call.sends() >= self.route.max_attempts;
+        if is_last || !self.route.kind.retryable() {
             return false;
         }
         if !self.state.take_retry(&self.service) {
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -5,6 +5,7 @@
     crate::{
         front::{
             peers::News,
+            quarantine,
             state::{Agent, Offsets, Peer, State},
         },
         shared::lock,
@@ -54,7 +55,11 @@
     let is_new = lock(&state.roster).receive(&packet, now);
     flush(state);
     let from = Ipv4Addr::from_bits(packet.address);
+    if is_new && packet.role() == Role::Entry {
+        quarantine::greet(state, from);
+    }
     match &packet.body {
+        Some(Body::Parts(parts)) => quarantine::receive(state, parts),
         Some(Body::Entry(entry)) => handle_entry(state, entry, &packet.host, from),
         Some(Body::Ping(probe) | Body::Ack(probe)) => {
             if let Some(entry) = &probe.entry {
--- a/crates/entry/src/front/metrics.rs
+++ b/crates/entry/src/front/metrics.rs
@@ -48,6 +48,8 @@
     pub leaving_engines: Counter,
     /// Refusals of engines that asked for a rest.
     pub resting_engines: Counter,
+    /// Parts of prompts that are refused because they crash engines.
+    pub quarantined_parts: Gauge,
     /// Requests in progress.
     pub in_flight: Gauge,
     /// Engines listed by the platform.
@@ -79,6 +81,7 @@
             store_era: Gauge::default(),
             leaving_engines: Counter::default(),
             resting_engines: Counter::default(),
+            quarantined_parts: Gauge::default(),
             in_flight: Gauge::default(),
             engines: Gauge::default(),
             members: Gauge::default(),
@@ -150,6 +153,11 @@
             "Refusals of engines that asked for a rest",
             self.resting_engines.clone(),
         );
+        r.register(
+            "quarantined_parts",
+            "Prompt parts that crash engines",
+            self.quarantined_parts.clone(),
+        );
         r.register("in_flight", "Requests in flight", self.in_flight.clone());
         r.register("engines", "Engines listed", self.engines.clone());
         r.register("members", "Processes heard from", self.members.clone());
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -1,8 +1,9 @@
 //! Entry host on the users' platform: an HTTP proxy that sends callers' requests to engines.
 //!
 //! `listener` accepts connections, `relay` handles requests, and `exchange` sends them to engines
-//! through `upstream`. `watch` follows the platform's store, and `records` applies what it says; `gossip` and `peers` communicate with
-//! the other processes.
+//! through `upstream`. `watch` follows the platform's store, and `records` applies what it says;
+//! `gossip` and `peers` communicate with the other processes. `quarantine` keeps requests from
+//! engines that their prompts would crash.
 
 mod body;
 mod exchange;
@@ -13,6 +14,7 @@
 mod pool;
 mod problem;
 mod process;
+mod quarantine;
 mod records;
 mod relay;
 mod state;
--- a/crates/entry/src/front/process.rs
+++ b/crates/entry/src/front/process.rs
@@ -1,7 +1,7 @@
 //! Startup and graceful shutdown of an entry host on the platform.
 
 use {
-    crate::front::{gossip, listener::Listener, peers, state::State, watch},
+    crate::front::{gossip, listener::Listener, peers, quarantine, state::State, watch},
     jayspread_net::{
         admin::{self, Admin},
         clock,
@@ -105,6 +105,7 @@
             tokio::spawn(watch::run(Arc::clone(&state), Topic::Engines)),
             tokio::spawn(gossip::receive(Arc::clone(&state))),
             tokio::spawn(gossip::run(Arc::clone(&state))),
+            tokio::spawn(quarantine::run(Arc::clone(&state))),
         ];
         let identity = &state.socket.identity;
         event!(
--- /dev/null
+++ b/crates/entry/src/front/quarantine.rs
@@ -0,0 +1,221 @@
+//! Exchange of what entry hosts know of prompt parts that crash engines, and its use for requests.
+
+use {
+    crate::{
+        front::{exchange::Exchange, state::State},
+        shared::lock,
+    },
+    jayspread_core::{
+        id,
+        placement::Refusal,
+        quarantine::{Change, Ledger, Part, Statement, Verdict},
+    },
+    jayspread_net::{clock, event, members},
+    jayspread_schema::peer::{Part as PartMessage, Parts, Role, packet::Body},
+    rand::seq::IteratorRandom,
+    std::{
+        net::Ipv4Addr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// Interval between two rounds of gossip while there is news.
+const ROUND_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of random entry hosts that get the news of a round.
+const FAN_OUT: usize = 3;
+/// Maximum number of statements in one datagram.
+const MAX_STATEMENTS: usize = 16;
+/// Number of events from which a broken stream is not blamed on its prompt: an engine crashes as it
+/// begins to answer.
+const MAX_EVENTS_BEFORE_CRASH: u32 = 8;
+/// Time after the start of this process in which it takes over the quarantines of others at once.
+const ADOPTION_TIME: Duration = Duration::from_secs(5);
+
+/// Passes on news of crashes until the task is aborted.
+pub async fn run(state: Arc<State>) {
+    loop {
+        let now = clock::now();
+        let (news, is_idle) = {
+            let mut ledger = lock(&state.quarantine);
+            let news = ledger.news(MAX_STATEMENTS, now);
+            report_changes(&state, &mut ledger, now);
+            (news, !ledger.has_news() && !ledger.has_unconfirmed(now))
+        };
+        if !news.is_empty() {
+            send(&state, &news, false, &random_hosts(&state));
+        }
+        if is_idle {
+            state.quarantine_due.notified().await;
+        } else {
+            time::sleep(ROUND_INTERVAL).await;
+        }
+    }
+}
+
+fn random_hosts(state: &State) -> Vec<Ipv4Addr> {
+    let roster = lock(&state.roster);
+    let hosts = roster.usable_members(Role::Entry);
+    hosts
+        .map(|(_, contact)| contact.address)
+        .choose_multiple(&mut rand::rng(), FAN_OUT)
+}
+
+/// Tells an entry host that has just started which parts are quarantined.
+pub fn greet(state: &State, address: Ipv4Addr) {
+    let statements = lock(&state.quarantine).statements(MAX_STATEMENTS, clock::now());
+    if !statements.is_empty() {
+        send(state, &statements, true, &[address]);
+    }
+}
+
+fn send(state: &State, statements: &[Statement], quarantined: bool, to: &[Ipv4Addr]) {
+    let packet = state.socket.encode(Body::Parts(Parts {
+        parts: statements.iter().map(encode).collect(),
+        quarantined,
+    }));
+    for address in to {
+        members::send(&state.socket, &packet, *address);
+    }
+}
+
+/// Handles what another entry host knows.
+pub fn receive(state: &State, parts: &Parts) {
+    let now = clock::now();
+    let has_just_started = now.saturating_duration_since(state.started) < ADOPTION_TIME;
+    let statements: Vec<Statement> = parts.parts.iter().map(decode).collect();
+    state.update_quarantine(now, |ledger| {
+        if parts.quarantined && has_just_started {
+            ledger.adopt(&statements, now);
+        } else {
+            for statement in &statements {
+                ledger.merge(statement, now);
+            }
+        }
+    });
+}
+
+fn encode(statement: &Statement) -> PartMessage {
+    let age_ms = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+    let (crashes, ages) = statement.crashes.iter().copied().unzip::<_, _, _, Vec<_>>();
+    PartMessage {
+        part: statement.part,
+        crashes,
+        ages_ms: ages.into_iter().map(age_ms).collect(),
+        completed_ms: statement.completed.map(age_ms),
+    }
+}
+
+/// Decodes a statement; a crash without an age is left out.
+fn decode(message: &PartMessage) -> Statement {
+    let age = |ms: u32| Duration::from_millis(ms.into());
+    let ages = message.ages_ms.iter().map(|ms| age(*ms));
+    Statement {
+        part: message.part,
+        crashes: message.crashes.iter().copied().zip(ages).collect(),
+        completed: message.completed_ms.map(age),
+    }
+}
+
+fn report_changes(state: &State, ledger: &mut Ledger, now: Instant) {
+    for change in ledger.changes(now) {
+        let (part, quarantined) = match change {
+            Change::Quarantined(part) => (part, true),
+            Change::Cleared(part) => (part, false),
+        };
+        event!(
+            Warn,
+            "prompt_part",
+            part_hash = format!("{part:016x}"),
+            quarantined = quarantined
+        );
+    }
+    let count = ledger.quarantined(now).count();
+    state.metrics.quarantined_parts.set(count as i64);
+}
+
+impl State {
+    /// Applies `update` and passes on what is news of it.
+    fn update_quarantine(&self, now: Instant, update: impl FnOnce(&mut Ledger)) {
+        let mut ledger = lock(&self.quarantine);
+        update(&mut ledger);
+        report_changes(self, &mut ledger, now);
+        if ledger.has_news() || ledger.has_unconfirmed(now) {
+            self.quarantine_due.notify_one();
+        }
+    }
+
+    /// Whether this host is the one that may test a quarantined part: each part has one among the
+    /// live entry hosts.
+    fn is_prober(&self, part: Part) -> bool {
+        let score = |host: &str| id::score(&part.to_le_bytes(), host);
+        let own = score(&self.settings.host);
+        let roster = lock(&self.roster);
+        let mut others = roster.usable_members(Role::Entry);
+        others.all(|(host, _)| score(host) < own)
+    }
+}
+
+impl Exchange {
+    /// Refuses the request if a part of its prompt is quarantined. One that is let through as a test
+    /// is not sent again if it fails.
+    pub fn check_quarantine(&mut self) -> Result<(), Refusal> {
+        if self.prompt_parts.is_empty() || self.is_probe {
+            return Ok(());
+        }
+        let state = &self.state;
+        let verdict = lock(&state.quarantine).check(
+            &self.prompt_parts,
+            |part| state.is_prober(part),
+            clock::now(),
+        );
+        match verdict {
+            Verdict::Accept => Ok(()),
+            Verdict::Probe => {
+                self.is_probe = true;
+                self.trace_event("quarantine_test", format_args!(""));
+                Ok(())
+            }
+            Verdict::Refuse { part, retry_after } => {
+                let index = self.prompt_parts.iter().position(|own| *own == part);
+                let id = index.map_or("unknown".into(), |index| {
+                    self.request.shared_parts[index].clone()
+                });
+                self.trace_event(
+                    "quarantined",
+                    format_args!("part={id} part_hash={part:016x}"),
+                );
+                Err(Refusal::Quarantined(retry_after))
+            }
+        }
+    }
+
+    /// Records that the connection to an engine failed for `reason` after it had sent `events` events
+    /// of its answer.
+    pub fn record_break(&self, reason: &str, events: u32, engine: &str) {
+        let has_ended = matches!(
+            reason,
+            "broken" | "ended" | "empty" | "ended_inside_an_event"
+        );
+        if !has_ended || events > MAX_EVENTS_BEFORE_CRASH || self.prompt_parts.is_empty() {
+            return;
+        }
+        let now = clock::now();
+        self.state.update_quarantine(now, |ledger| {
+            ledger.record_crash(&self.prompt_parts, engine, now);
+        });
+    }
+
+    /// Records that an engine answered completely. An answer that only ends with its connection does
+    /// not prove that.
+    pub fn record_completion(&self, is_delimited: bool) {
+        if !is_delimited || self.prompt_parts.is_empty() {
+            return;
+        }
+        let now = clock::now();
+        self.state.update_quarantine(now, |ledger| {
+            ledger.record_completion(&self.prompt_parts, now);
+        });
+    }
+}
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -20,6 +20,7 @@
         call::Call,
         catalog::{Catalog, Organisation, Route},
         outlier::Outcome,
+        quarantine,
     },
     jayspread_net::{body, clock},
     jayspread_platform::header as wire,
@@ -111,6 +112,8 @@
             catalog.revision
         ),
     );
+    let prompt_parts = request.shared_parts.iter();
+    let prompt_parts = prompt_parts.map(|id| quarantine::part(id)).collect();
     state.in_flight.fetch_add(1, Ordering::AcqRel);
     Ok(Exchange {
         state,
@@ -125,6 +128,8 @@
         deadline,
         call,
         tried: Vec::new(),
+        prompt_parts,
+        is_probe: false,
         is_caller_retry,
         trace: Some(trace),
     })
@@ -255,6 +260,9 @@
             };
             upstream.permit.set_outcome(Outcome::Success, "answered");
             let status = upstream.head.status;
+            if status.is_success() {
+                self.record_completion(upstream.channel.is_clean());
+            }
             let response = build_response(status, upstream.head.headers.clone(), full(body));
             upstream.release();
             metrics::count(&self.state.metrics.attempts, "answered");
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of an entry host on the platform.
 //!
 //! Lock order: `mirrors`, `catalog`, `stranded`, `targets`, `retry_budgets`, `longest_timeouts`,
-//! `saturated_at`, `engines`, `roster`, `peers`, `agents`, `peak_hosts`, `pool`, `pending_news`,
+//! `saturated_at`, `engines`, `quarantine`, `roster`, `peers`, `agents`, `peak_hosts`, `pool`, `pending_news`,
 //! `passed_on`. A task holds at most two locks, taken in this order, and none across an await.
 
 use {
@@ -15,6 +15,7 @@
         id::{Host, Service},
         mirror::{Mirror, Position},
         placement::Table,
+        quarantine::Ledger,
         reader,
         target::{Bound, Targets},
         window::Budget,
@@ -142,6 +143,10 @@
     saturated_at: Mutex<BTreeMap<Box<str>, Instant>>,
     /// Engines of all services, with their load and health.
     pub engines: Mutex<Table>,
+    /// What is known of prompt parts that crash engines.
+    pub quarantine: Mutex<Ledger>,
+    /// Triggers the exchange of news of them.
+    pub quarantine_due: Notify,
     /// Other processes that are known or send heartbeats.
     pub roster: Mutex<Roster>,
     /// Last known states of other entry hosts.
@@ -199,6 +204,8 @@
             longest_timeouts: Mutex::default(),
             saturated_at: Mutex::default(),
             engines: Mutex::default(),
+            quarantine: Mutex::default(),
+            quarantine_due: Notify::new(),
             roster: Mutex::new(roster),
             peers: Mutex::default(),
             agents: Mutex::default(),
@@ -425,6 +432,11 @@
         let engines: Vec<Value> = table.iter().map(describe).collect();
         let evacuated = json!(table.evacuated());
         drop(table);
+        let quarantined_parts: Vec<String> = {
+            let ledger = lock(&self.quarantine);
+            let parts = ledger.quarantined(now);
+            parts.map(|part| format!("{part:016x}")).collect()
+        };
         let reads_store = self.reads_store();
         let reporting_agents = lock(&self.agents).len();
         let roster = lock(&self.roster);
@@ -438,6 +450,7 @@
             "revision": catalog.map(|catalog| catalog.revision),
             "targets": targets,
             "evacuated": evacuated,
+            "quarantined_parts": quarantined_parts,
             "engines": engines,
             "members": members,
             "entry_hosts": hosts,
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -29,6 +29,8 @@
     splitter: Splitter,
     /// First event, received before the response to the caller began.
     first_event: Option<Event>,
+    /// Number of events that the engine has sent.
+    event_count: u32,
 }
 
 /// Result of reading from a stream.
@@ -46,6 +48,7 @@
             response,
             splitter: Splitter::default(),
             first_event: None,
+            event_count: 0,
         };
         let latency_target = exchange.route.latency_target;
         loop {
@@ -78,6 +81,7 @@
         let since = clock::now();
         loop {
             if let Some(event) = self.splitter.next_event() {
+                self.event_count += 1;
                 return Next::Event(event);
             }
             // Checked before each read: an engine that sends a byte now and then has stalled too.
@@ -147,6 +151,8 @@
             .response
             .permit
             .set_outcome(Outcome::Success, "answered");
+        self.exchange
+            .record_completion(stream.response.channel.is_clean());
         stream.response.release();
         self.exchange
             .state
@@ -169,6 +175,9 @@
     /// Resumes the stream at another engine.
     async fn resume(&mut self, mut broken: Stream, reason: &'static str) -> Result<(), Aborted> {
         broken.response.permit.set_outcome(Outcome::Failure, reason);
+        let engine = broken.response.permit.reservation.id.clone();
+        self.exchange
+            .record_break(reason, broken.event_count, &engine);
         drop(broken);
         let Some(response) = self.exchange.resume(reason).await else {
             return Err(Aborted);
@@ -180,6 +189,7 @@
             response,
             splitter: Splitter::default(),
             first_event: None,
+            event_count: 0,
         });
         Ok(())
     }
