Streams past their first events clear the parts of their prompts

Cause: only complete answers that are delimited by a length or chunks cleared a part. Where engines end all answers with their connection, or callers leave before the end, none ever did, and three breaks in a row would have refused the part that all requests share. Ruled out: taking the end of the connection for a complete answer; a crash after whole events looks the same. Change: more events than those after which a break is blamed clear the parts at once.

--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -27,9 +27,9 @@
 const FAN_OUT: usize = 3;
 /// Maximum number of statements in one datagram.
 const MAX_STATEMENTS: usize = 16;
-/// Number of events from which a broken stream is not blamed on its prompt: an engine crashes as it
-/// begins to answer.
-const MAX_EVENTS_BEFORE_CRASH: u32 = 8;
+/// Largest number of events that an engine sends before it crashes on a part of the prompt, as it does
+/// so when it begins to answer. A stream with more shows that its parts are sound.
+pub const MAX_EVENTS_BEFORE_CRASH: u32 = 8;
 /// Time after the start of this process in which it takes over the quarantines of others at once.
 const ADOPTION_TIME: Duration = Duration::from_secs(5);
 
@@ -207,10 +207,9 @@
         });
     }
 
-    /// Records that an engine answered completely. An answer that only ends with its connection does
-    /// not prove that.
-    pub fn record_completion(&self, is_delimited: bool) {
-        if !is_delimited || self.prompt_parts.is_empty() {
+    /// Records that an engine answered completely, or beyond the events after which it may crash.
+    pub fn record_completion(&self) {
+        if self.prompt_parts.is_empty() {
             return;
         }
         let now = clock::now();
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -5,6 +5,7 @@
     crate::front::{
         body::{Aborted, Body, Source, streaming},
         exchange::Exchange,
+        quarantine::MAX_EVENTS_BEFORE_CRASH,
         upstream::{Failure, Response},
     },
     bytes::{Bytes, BytesMut},
@@ -151,8 +152,10 @@
             .response
             .permit
             .set_outcome(Outcome::Success, "answered");
-        self.exchange
-            .record_completion(stream.response.channel.is_clean());
+        // A stream that only ends with its connection may have been cut off by a crash.
+        if stream.event_count <= MAX_EVENTS_BEFORE_CRASH && stream.response.channel.is_clean() {
+            self.exchange.record_completion();
+        }
         stream.response.release();
         self.exchange
             .state
@@ -206,11 +209,17 @@
                 }
                 Next::Event(event) => {
                     let mut bytes = BytesMut::from(&self.relay_event(event)[..]);
+                    let count_before = stream.event_count - 1;
                     while let Some(event) = stream.splitter.next_event() {
+                        stream.event_count += 1;
                         if !self.exchange.is_duplicate(&event) {
                             bytes.extend_from_slice(&self.relay_event(event));
                         }
                     }
+                    let was_early = count_before <= MAX_EVENTS_BEFORE_CRASH;
+                    if was_early && stream.event_count > MAX_EVENTS_BEFORE_CRASH {
+                        self.exchange.record_completion();
+                    }
                     self.stream = Some(stream);
                     return Some(Ok(bytes.freeze()));
                 }
