A stream that ends with its connection before its first event is broken

What callers saw: nothing yet; found in the review of the quarantine. A stream that was resumed at an engine which sent a head without length or chunks and then ended would have looked complete with the events from before. Cause: the end of the connection ends such an answer, and a resumed stream may hold no further events. Change: without any event, only an end by length or chunks is one. Measured: resumed_stream_that_ends_before_its_first_event_is_broken failed without the change (status 200 and a whole body of three events) and passes.

--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -77,6 +77,12 @@
         &self.response.head
     }
 
+    /// Whether the end of the stream may be that of a connection to an engine that crashed before its
+    /// first event.
+    fn may_be_cut_off(&self) -> bool {
+        self.event_count == 0 && !self.response.channel.is_clean()
+    }
+
     /// Waits for the next event; `target` is the intended maximum wait.
     async fn next_event(&mut self, exchange: &Exchange, target: Duration) -> Next {
         let since = clock::now();
@@ -100,6 +106,7 @@
                         return Next::Broken("event_too_long");
                     }
                 }
+                Ok(Ok(None)) if self.may_be_cut_off() => return Next::Broken("empty"),
                 Ok(Ok(None)) if self.splitter.is_empty() => return Next::End,
                 Ok(Ok(None)) => return Next::Broken("ended_inside_an_event"),
                 Ok(Err(cause)) => return Next::Broken(cause.kind()),
