Quarantine: probes of one host at a time, news for hosts that missed it, unproven answers

Ruled out: one prober a region (one crash each); a delay of such answers until their engine is known to live, which would hold callers back. Change: hosts probe in the order of a hash of part and host, 2 s after each other, and all count from the last crash that any of them knows; only requests without another blamed part are tests; a host that states less than is known is answered, at most once a second; of equal weight the news that were sent least go first; an answer that ends with its connection counts when the agent still reports its engine a second later; Retry-After names the next test while the blame is uncertain. The test of probes now names the exact time of the one that follows two failed ones.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -68,7 +68,8 @@
     Refuse {
         /// The quarantined part.
         part: Part,
-        /// Time until the quarantine ends if no more engines crash.
+        /// Time until the next probe while the blame is uncertain, or else until the quarantine ends if
+        /// no more engines crash.
         retry_after: Duration,
     },
 }
@@ -115,7 +116,10 @@
         let crash = crash(engine);
         let mut changed = false;
         for part in parts {
-            if self.record(*part).insert_crash(crash, now) {
+            let record = self.record(*part);
+            // Even if the record is full, others may not know the part.
+            let is_full = record.crashes.len() >= MAX_CRASHES;
+            if record.insert_crash(crash, now) || is_full {
                 self.unsent.insert(*part, NEWS_REPEATS);
                 changed |= self.update_candidate(*part);
             }
@@ -142,15 +146,16 @@
     }
 
     /// Decides whether a request with these parts may be sent to an engine; to be called before each
-    /// attempt. `is_prober` tells whether this host probes a part.
-    pub fn check(
-        &mut self,
-        parts: &[Part],
-        is_prober: impl Fn(Part) -> bool,
-        now: Instant,
-    ) -> Verdict {
+    /// attempt. `rank` tells how many other hosts precede this one in probing a part. A request is no
+    /// probe if another of its parts may be to blame.
+    pub fn check(&mut self, parts: &[Part], rank: impl Fn(Part) -> u32, now: Instant) -> Verdict {
         self.expire_if_due(now);
         let mut verdict = Verdict::Accept;
+        let is_blamed = |part: &&Part| {
+            let record = self.records.get(part);
+            record.is_some_and(|record| record.crashes.len() >= SUSPECT_CRASHES)
+        };
+        let is_ambiguous = parts.iter().filter(is_blamed).nth(1).is_some();
         for part in parts {
             let Some(record) = self.records.get(part) else {
                 continue;
@@ -158,10 +163,10 @@
             if !record.is_quarantined(now) {
                 continue;
             }
-            if !record.probe_due(now) || !is_prober(*part) {
+            if is_ambiguous || !record.probe_due(0, now) || !record.probe_due(rank(*part), now) {
                 return Verdict::Refuse {
                     part: *part,
-                    retry_after: record.remaining(now),
+                    retry_after: record.retry_after(now),
                 };
             }
             verdict = Verdict::Probe;
@@ -171,7 +176,7 @@
                 if let Some(record) = self.records.get_mut(part)
                     && record.is_quarantined(now)
                 {
-                    record.start_probe(now);
+                    record.probed_at = Some(now);
                 }
             }
         }
@@ -221,6 +226,9 @@
         }
         if cleared || advances || answers {
             self.state_completion(part, now);
+        } else if self.knows_more(part, statement, now) {
+            self.record(part).answered_at = Some(now);
+            self.unsent.insert(part, NEWS_REPEATS);
         }
         if added {
             self.unsent.insert(part, NEWS_REPEATS);
@@ -231,6 +239,22 @@
         added || cleared || advances
     }
 
+    /// Whether a part is quarantined here, and the host that made the statement lacks some of its
+    /// crashes: it may have been out of reach when they were news. False within a short time of the
+    /// last answer.
+    fn knows_more(&self, part: Part, statement: &Statement, now: Instant) -> bool {
+        self.records.get(&part).is_some_and(|record| {
+            let may_answer = record
+                .answered_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= ANSWER_INTERVAL);
+            let stated = |crash: &Crash| statement.crashes.iter().any(|(id, _)| id == crash);
+            may_answer
+                && statement.crashes.len() < SUSPECT_CRASHES
+                && record.is_quarantined(now)
+                && !record.crashes.keys().all(stated)
+        })
+    }
+
     /// Takes in the [`Ledger::statements`] of another host. The confirmation time has passed there, so
     /// that the suspect parts among them are quarantined at once.
     pub fn adopt(&mut self, statements: &[Statement], now: Instant) {
@@ -250,7 +274,11 @@
         self.unsent
             .retain(|part, _| self.records.contains_key(part));
         let mut parts: Vec<Part> = self.unsent.keys().copied().collect();
-        parts.sort_by_key(|part| Reverse(self.records.get(part).map(Record::weight)));
+        // Of equal weight, what was sent least goes first: a large outage names many parts.
+        parts.sort_by_key(|part| {
+            let weight = self.records.get(part).map(Record::weight);
+            Reverse((weight, self.unsent.get(part).copied()))
+        });
         parts.truncate(max);
         let mut statements = Vec::with_capacity(parts.len());
         for part in parts {
@@ -418,7 +446,7 @@
             if let Some(record) = self.records.get_mut(part) {
                 record.suspect_since = None;
                 record.probed_at = None;
-                record.probes = 0;
+                record.failed_probes = 0;
             }
         }
         for part in suspects.difference(&self.suspects) {
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -14,13 +14,16 @@
 /// Time for which a part must be suspect without a break before it is quarantined; within it other
 /// hosts can state completions.
 const CONFIRMATION: Duration = Duration::from_millis(300);
-/// Interval of probes of a quarantined part with fewer crashes.
+/// Time from the last crash to a probe of a quarantined part with fewer crashes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(5);
-/// Time until the first probe of a part with that many; it doubles with each further one. Without
-/// any, a part that all requests share would stay blamed by mistake, as no answer could clear it.
+/// The same for a part with that many; it doubles with each probe that crashed an engine. Without any
+/// probe, a part that all requests share would stay blamed by mistake, as no answer could clear it.
 const CERTAIN_PROBE_INTERVAL: Duration = Duration::from_secs(60);
 /// Largest number of times that this interval doubles.
 const MAX_DOUBLINGS: u32 = 4;
+/// Time by which each host probes later than the one that precedes it, so that another one does if
+/// the first has no request with the part, and that the first one's result is known before.
+const PROBE_STAGGER: Duration = Duration::from_secs(2);
 /// Time for which a completed answer refutes later crashes of its parts.
 const COMPLETION_MEMORY: Duration = Duration::from_secs(30);
 
@@ -40,8 +43,8 @@
     pub(super) rank: usize,
     pub(super) suspect_since: Option<Instant>,
     pub(super) probed_at: Option<Instant>,
-    /// Number of probes since the part became suspect.
-    pub(super) probes: u32,
+    /// Number of probes, of any host, that crashed an engine since the part was quarantined.
+    pub(super) failed_probes: u32,
 }
 
 impl Record {
@@ -59,6 +62,10 @@
             *known = at.min(*known);
             return false;
         }
+        let is_probe = self
+            .quarantined_at()
+            .is_some_and(|since| at >= since + PROBE_INTERVAL);
+        self.failed_probes += u32::from(is_probe);
         self.crashes.insert(crash, at);
         // The same crashes remain whatever the order in which they were learnt.
         while self.crashes.len() > MAX_CRASHES {
@@ -109,19 +116,33 @@
         })
     }
 
-    pub(super) fn probe_due(&self, now: Instant) -> bool {
+    /// Whether the host that `rank` others precede may probe the part.
+    pub(super) fn probe_due(&self, rank: u32, now: Instant) -> bool {
+        self.next_probe()
+            .is_some_and(|at| now >= at + PROBE_STAGGER * rank)
+    }
+
+    /// Time of the next probe by the first host.
+    fn next_probe(&self) -> Option<Instant> {
         let interval = if self.crashes.len() < CERTAIN_CRASHES {
             PROBE_INTERVAL
         } else {
-            CERTAIN_PROBE_INTERVAL * (1 << self.probes.min(MAX_DOUBLINGS))
+            CERTAIN_PROBE_INTERVAL * (1 << self.failed_probes.min(MAX_DOUBLINGS))
         };
-        let since = self.probed_at.max(self.quarantined_at());
-        since.is_some_and(|since| now >= since + interval)
+        let last_crash = self.crashes.values().max().copied();
+        let since = self.probed_at.max(self.quarantined_at()?.into());
+        since.max(last_crash).map(|since| since + interval)
     }
 
-    pub(super) fn start_probe(&mut self, now: Instant) {
-        self.probed_at = Some(now);
-        self.probes += 1;
+    /// Time after which a request with the part has a chance.
+    pub(super) fn retry_after(&self, now: Instant) -> Duration {
+        let remaining = self.remaining(now);
+        match self.next_probe() {
+            Some(at) if self.crashes.len() < CERTAIN_CRASHES => {
+                remaining.min(at.saturating_duration_since(now).max(PROBE_STAGGER))
+            }
+            _ => remaining,
+        }
     }
 
     pub(super) fn updated_at(&self) -> Option<Instant> {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -20,7 +20,7 @@
 }
 
 fn accepts(ledger: &mut Ledger, parts: &[Part], now: Instant) -> bool {
-    ledger.check(parts, |_| false, now) == Verdict::Accept
+    ledger.check(parts, |_| 1_000, now) == Verdict::Accept
 }
 
 /// Records crashes of `parts` at the instances in `engines`.
@@ -62,7 +62,7 @@
     let third = now + ms(5_000);
     crash_on(&mut ledger, &[bad], 2..3, third);
     assert!(accepts(&mut ledger, &[bad], third + ms(299)));
-    let verdict = ledger.check(&[part("other"), bad], |_| false, third + CONFIRMATION);
+    let verdict = ledger.check(&[part("other"), bad], |_| 1_000, third + CONFIRMATION);
     assert!(matches!(verdict, Verdict::Refuse { part, .. } if part == bad));
     assert_eq!(
         ledger.changes(third + CONFIRMATION),
@@ -198,10 +198,10 @@
     for step in 0..1_600 {
         let at = quarantined_at + ms(10) * step;
         assert!(matches!(
-            ledger.check(&[bad], |_| false, at),
+            ledger.check(&[bad], |_| 1_000, at),
             Verdict::Refuse { .. }
         ));
-        if ledger.check(&[bad], |part| part == bad, at) == Verdict::Probe {
+        if ledger.check(&[bad], |part| u32::from(part != bad), at) == Verdict::Probe {
             probes.push(at - quarantined_at);
         }
     }
@@ -214,14 +214,86 @@
     let mut probes = Vec::new();
     for step in 0..480 {
         let at = later + ms(1_000) * step;
-        match ledger.check(&[bad], |_| true, at) {
+        match ledger.check(&[bad], |_| 0, at) {
             Verdict::Probe => probes.push((at - later).as_secs()),
             Verdict::Refuse { .. } => {}
             Verdict::Accept => panic!("accepted without a completion"),
         }
     }
-    assert_eq!(probes.len(), 1, "{probes:?}");
-    assert!(probes[0] >= 300, "{probes:?}: three probes came before");
+    assert_eq!(
+        probes,
+        [240],
+        "the interval doubled with both failed probes"
+    );
+}
+
+/// Guards against a second host that probes a part although the probe of the first has just failed.
+#[test]
+fn hosts_probe_the_same_part_at_once() {
+    let now = start();
+    let (mut first, mut second) = (Ledger::default(), Ledger::default());
+    let bad = part("bad");
+    for ledger in [&mut first, &mut second] {
+        crash_on(ledger, &[bad], 0..6, now);
+    }
+    let probed = now + ms(60_300);
+    assert_eq!(first.check(&[bad], |_| 0, probed), Verdict::Probe);
+    assert!(matches!(
+        second.check(&[bad], |_| 1, probed + ms(1_900)),
+        Verdict::Refuse { .. }
+    ));
+    crash_on(&mut first, &[bad], 6..7, probed + ms(100));
+    for statement in first.news(10, probed + ms(200)) {
+        assert!(second.merge(&statement, probed + ms(300)));
+    }
+    for second_after in 0..119 {
+        let at = probed + ms(1_000) * second_after;
+        let verdict = second.check(&[bad], |_| 0, at);
+        assert!(
+            matches!(verdict, Verdict::Refuse { .. }),
+            "{second_after} s"
+        );
+    }
+}
+
+/// Guards against a probe of a part that was blamed by mistake with a request that holds the part
+/// which is to blame.
+#[test]
+fn probe_of_a_sound_part_holds_the_crashing_part() {
+    let now = start();
+    let mut ledger = Ledger::default();
+    let (first, bad) = (part("first"), part("bad"));
+    crash_on(&mut ledger, &[first, bad], 0..3, now);
+    let later = now + ms(10_000);
+    let blamed: Vec<_> = ledger.quarantined(later).collect();
+    assert_eq!(blamed.len(), 1, "one of the two explains the crashes");
+    let verdict = ledger.check(&[first, bad], |_| 0, later);
+    assert!(matches!(verdict, Verdict::Refuse { .. }), "{verdict:?}");
+    assert_eq!(ledger.check(&blamed, |_| 0, later), Verdict::Probe);
+}
+
+/// Guards against a host that was out of reach when a part was quarantined, and is never told.
+#[test]
+fn host_that_missed_the_news_is_not_told() {
+    let now = start();
+    let mut informed = Ledger::default();
+    let bad = part("bad");
+    crash_on(&mut informed, &[bad], 0..40, now);
+    let later = now + ms(5_000);
+    while !informed.news(10, later).is_empty() {}
+    let mut returned = Ledger::default();
+    crash_on(&mut returned, &[bad], 50..51, later);
+    for statement in returned.news(10, later) {
+        informed.merge(&statement, later);
+    }
+    let answer = informed.news(10, later + ms(100));
+    assert_eq!(answer.len(), 1);
+    returned.adopt(&answer, later + ms(200));
+    assert!(!accepts(
+        &mut returned,
+        &[bad],
+        later + ms(200) + CONFIRMATION
+    ));
 }
 
 /// Guards against a quarantine without end, and a wrong statement of its end.
@@ -240,8 +312,7 @@
     }
     // With the fourth crash gone two are left.
     let end = now + ms(3_000) + QUARANTINE_TIME;
-    let Verdict::Refuse { retry_after, .. } = ledger.check(&[bad], |_| true, now + ms(10_000))
-    else {
+    let Verdict::Refuse { retry_after, .. } = ledger.check(&[bad], |_| 0, now + ms(10_000)) else {
         panic!("not refused");
     };
     assert_eq!(retry_after, end - (now + ms(10_000)));
@@ -417,7 +488,7 @@
     assert!(!accepts(&mut young, &[bad], later));
     assert!(accepts(&mut young, &[sound], later + CONFIRMATION));
     for second in 1..60 {
-        let verdict = young.check(&[bad], |_| true, later + ms(1_000) * second);
+        let verdict = young.check(&[bad], |_| 0, later + ms(1_000) * second);
         assert!(
             matches!(verdict, Verdict::Refuse { .. }),
             "after {second} s"
--- a/crates/core/tests/quarantine_fleet.rs
+++ b/crates/core/tests/quarantine_fleet.rs
@@ -138,7 +138,7 @@
 
     fn send(&mut self, host: usize, parts: Vec<Part>, bad: bool, retried: bool) {
         let now = self.now();
-        let verdict = self.hosts[host].check(&parts, |_| host == 0, now);
+        let verdict = self.hosts[host].check(&parts, |_| host as u32, now);
         let late = self.is_after_fifth_crash(6_000);
         if !bad && !retried && late {
             self.outcome.sound += 1;
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        front::{exchange::Exchange, state::State},
+        front::{exchange::Exchange, state::State, upstream::Response},
         shared::lock,
     },
     jayspread_core::{
         id,
-        placement::Refusal,
+        placement::{Refusal, Reservation},
         quarantine::{Change, Ledger, Part, Statement, Verdict},
     },
     jayspread_net::{clock, event, members},
@@ -30,6 +30,8 @@
 /// Largest number of events that an engine sends before it crashes on a part of the prompt, as it does
 /// so when it begins to answer. A stream with more shows that its parts are sound.
 pub const MAX_EVENTS_BEFORE_CRASH: u32 = 8;
+/// Time within which an agent reports that its engine has ended.
+const CRASH_NOTICE_TIME: Duration = Duration::from_millis(1_000);
 /// Time after the start of this process in which it takes over the quarantines of others at once.
 const ADOPTION_TIME: Duration = Duration::from_secs(5);
 
@@ -146,14 +148,14 @@
         }
     }
 
-    /// Whether this host is the one that may test a quarantined part: each part has one among the
-    /// live entry hosts.
-    fn is_prober(&self, part: Part) -> bool {
+    /// Number of live entry hosts that precede this one in testing a quarantined part.
+    fn prober_rank(&self, part: Part) -> u32 {
         let score = |host: &str| id::score(&part.to_le_bytes(), host);
         let own = score(&self.settings.host);
         let roster = lock(&self.roster);
-        let mut others = roster.usable_members(Role::Entry);
-        others.all(|(host, _)| score(host) < own)
+        let others = roster.usable_members(Role::Entry);
+        let preceding = others.filter(|(host, _)| score(host) > own);
+        preceding.count() as u32
     }
 }
 
@@ -167,7 +169,7 @@
         let state = &self.state;
         let verdict = lock(&state.quarantine).check(
             &self.prompt_parts,
-            |part| state.is_prober(part),
+            |part| state.prober_rank(part),
             clock::now(),
         );
         match verdict {
@@ -207,6 +209,34 @@
         });
     }
 
+    /// Records that an engine has sent its whole answer.
+    pub fn record_answer(&self, response: &Response) {
+        if response.channel.is_clean() {
+            self.record_completion();
+        } else {
+            self.record_unproven_completion(&response.permit.reservation);
+        }
+    }
+
+    /// Records later that an engine answered completely, unless it has ended by then: the answer
+    /// ended only with its connection, as it does in a crash.
+    fn record_unproven_completion(&self, reservation: &Reservation) {
+        if self.prompt_parts.is_empty() {
+            return;
+        }
+        let (state, parts) = (Arc::clone(&self.state), self.prompt_parts.clone());
+        let reservation = reservation.clone();
+        tokio::spawn(async move {
+            time::sleep(CRASH_NOTICE_TIME).await;
+            let now = clock::now();
+            let is_alive =
+                lock(&state.engines).reported_responsive(&reservation, CRASH_NOTICE_TIME / 2, now);
+            if is_alive {
+                state.update_quarantine(now, |ledger| ledger.record_completion(&parts, now));
+            }
+        });
+    }
+
     /// Records that an engine answered completely, or beyond the events after which it may crash.
     pub fn record_completion(&self) {
         if self.prompt_parts.is_empty() {
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -260,9 +260,8 @@
             };
             upstream.permit.set_outcome(Outcome::Success, "answered");
             let status = upstream.head.status;
-            // An answer that only ends with its connection may have been cut off by a crash.
-            if status.is_success() && upstream.channel.is_clean() {
-                self.record_completion();
+            if status.is_success() {
+                self.record_answer(&upstream);
             }
             let response = build_response(status, upstream.head.headers.clone(), full(body));
             upstream.release();
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -77,6 +77,16 @@
         &self.response.head
     }
 
+    /// Removes and returns the next complete event that was received.
+    fn take_event(&mut self, exchange: &Exchange) -> Option<Event> {
+        let event = self.splitter.next_event()?;
+        self.event_count += 1;
+        if self.event_count == MAX_EVENTS_BEFORE_CRASH + 1 {
+            exchange.record_completion();
+        }
+        Some(event)
+    }
+
     /// Whether the end of the stream may be that of a connection to an engine that crashed before its
     /// first event.
     fn may_be_cut_off(&self) -> bool {
@@ -87,8 +97,7 @@
     async fn next_event(&mut self, exchange: &Exchange, target: Duration) -> Next {
         let since = clock::now();
         loop {
-            if let Some(event) = self.splitter.next_event() {
-                self.event_count += 1;
+            if let Some(event) = self.take_event(exchange) {
                 return Next::Event(event);
             }
             // Checked before each read: an engine that sends a byte now and then has stalled too.
@@ -159,9 +168,8 @@
             .response
             .permit
             .set_outcome(Outcome::Success, "answered");
-        // A stream that only ends with its connection may have been cut off by a crash.
-        if stream.event_count <= MAX_EVENTS_BEFORE_CRASH && stream.response.channel.is_clean() {
-            self.exchange.record_completion();
+        if stream.event_count <= MAX_EVENTS_BEFORE_CRASH {
+            self.exchange.record_answer(&stream.response);
         }
         stream.response.release();
         self.exchange
@@ -216,17 +224,11 @@
                 }
                 Next::Event(event) => {
                     let mut bytes = BytesMut::from(&self.relay_event(event)[..]);
-                    let count_before = stream.event_count - 1;
-                    while let Some(event) = stream.splitter.next_event() {
-                        stream.event_count += 1;
+                    while let Some(event) = stream.take_event(&self.exchange) {
                         if !self.exchange.is_duplicate(&event) {
                             bytes.extend_from_slice(&self.relay_event(event));
                         }
                     }
-                    let was_early = count_before <= MAX_EVENTS_BEFORE_CRASH;
-                    if was_early && stream.event_count > MAX_EVENTS_BEFORE_CRASH {
-                        self.exchange.record_completion();
-                    }
                     self.stream = Some(stream);
                     return Some(Ok(bytes.freeze()));
                 }
