--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -265,6 +265,10 @@
         }
         "busy" => "no engine that it may use was expected to answer in time".to_owned(),
         "no_engine" => "no listed engine may serve it, by version, region or state".to_owned(),
+        "quarantined" => {
+            let part = last_value(lines, "quarantined", "part").unwrap_or("unknown");
+            format!("engines crash on part {part} of its prompt")
+        }
         "resting" => "all its engines had asked for a rest".to_owned(),
         other => other.to_owned(),
     }
--- a/crates/entry/tests/explain.rs
+++ b/crates/entry/tests/explain.rs
@@ -44,6 +44,12 @@
     }
 }
 
+const QUARANTINED: &str = "\
+time=2026-12-04T11:00:00.000Z level=Info event=received request=c0ffee route=stream kind=Resumable organisation=org prompt=100 parts=f0,bad0 timeout_ms=3000 caller_retry=false revision=1
+time=2026-12-04T11:00:00.000Z level=Info event=quarantined request=c0ffee part=bad0 part_hash=0123456789abcdef
+time=2026-12-04T11:00:00.000Z level=Info event=failed request=c0ffee reason=quarantined after_ms=0
+";
+
 #[rstest]
 #[case::refused_under_load(
     REFUSED,
@@ -60,6 +66,11 @@
     "c87f47ebf7e26bfe",
     "edge-dgp-city-centre-2 rejected it with status 401: unknown_key; no engine got it"
 )]
+#[case::crashing_part(
+    QUARANTINED,
+    "c0ffee",
+    "edge-1 refused it: engines crash on part bad0 of its prompt; no engine got it"
+)]
 #[case::ended_unknown(
     LOST,
     "fa6d37101e6a53f2",
