--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -27,8 +27,8 @@
 const FAN_OUT: usize = 3;
 /// Maximum number of statements in one datagram.
 const MAX_STATEMENTS: usize = 16;
-/// Largest number of events that an engine sends before it crashes on a part of the prompt, as it does
-/// so when it begins to answer. A stream with more shows that its parts are sound.
+/// Largest number of events that an engine sends before it crashes on a part of the prompt: it does so
+/// when it begins to answer. A stream with more shows that its parts are sound.
 pub const MAX_EVENTS_BEFORE_CRASH: u32 = 8;
 /// Time within which an agent reports that its engine has ended.
 const CRASH_NOTICE_TIME: Duration = Duration::from_millis(1_000);
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -1,8 +1,8 @@
 //! State shared by the tasks of an entry host on the platform.
 //!
 //! Lock order: `mirrors`, `catalog`, `stranded`, `targets`, `retry_budgets`, `longest_timeouts`,
-//! `saturated_at`, `engines`, `quarantine`, `roster`, `peers`, `agents`, `peak_hosts`, `pool`, `pending_news`,
-//! `passed_on`. A task holds at most two locks, taken in this order, and none across an await.
+//! `saturated_at`, `engines`, `quarantine`, `roster`, `peers`, `agents`, `peak_hosts`, `pool`,
+//! `pending_news`, `passed_on`. A task holds at most two locks, taken in this order, and none across an await.
 
 use {
     crate::{
