Log where a list entry came from, and that a host is behind a peer

What callers saw: requests at an engine 2.6 and 3.0 s after it said that it leaves. Cause: not known yet; the logs could not tell a host that never heard from one that was told late by a peer. Ruled out: nothing by this change.

--- a/crates/entry/src/front/peers.rs
+++ b/crates/entry/src/front/peers.rs
@@ -198,6 +198,20 @@
     /// from peers of its region, or else from any; one that does gives the store time to deliver
     /// the records first.
     async fn catch_up(self: &Arc<Self>, news: &News) {
+        let own = self.offsets();
+        if own.is_behind(news.target) {
+            event!(
+                Info,
+                "behind_peer",
+                peer = news.peer,
+                root = news.root.as_deref().unwrap_or_default(),
+                operator = own.operator.offset,
+                peer_operator = news.target.operator.offset,
+                engines = own.engines.offset,
+                peer_engines = news.target.engines.offset,
+                store_topics_lost = self.failing_topics.load(Ordering::Relaxed)
+            );
+        }
         let is_regional = lock(&self.roster)
             .contact(&news.peer)
             .is_some_and(|contact| contact.role == Role::Entry && contact.region == self.region);
@@ -289,7 +303,7 @@
     let grace = Duration::from_millis(records.lenient_ms.min(LISTING_GRACE.as_millis() as u64));
     let grace_until = (!grace.is_zero()).then(|| received + grace);
     let operator = records.operator.map(|topic| decode(topic, own.operator));
-    let source = Source::Snapshot;
+    let source = Source::Peer;
     let operator_changes = operator.map_or(0, |batch| {
         records::apply(state, Topic::Operator, batch, source, None)
     });
--- a/crates/entry/src/front/records.rs
+++ b/crates/entry/src/front/records.rs
@@ -28,11 +28,24 @@
 /// How this host came by records.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
-    /// They arrived as they were written.
+    /// The store sent them as they were written.
     Changes,
-    /// They are the newest ones of their keys, or were written while this host did not follow the
-    /// store: they are of unknown age.
+    /// The store sent the newest ones of their keys, or those written while this host did not follow
+    /// it: they are of unknown age.
     Snapshot,
+    /// Another entry host sent them; they are of unknown age.
+    Peer,
+}
+
+impl Source {
+    /// Name in logs.
+    fn name(self) -> &'static str {
+        match self {
+            Source::Changes => "changes",
+            Source::Snapshot => "snapshot",
+            Source::Peer => "peer",
+        }
+    }
 }
 
 /// Name of a topic in logs.
@@ -70,7 +83,7 @@
     let is_first = next_position(state, topic).is_none();
     let versions_named_at = match source {
         Source::Changes => Named::At(now),
-        Source::Snapshot => {
+        Source::Snapshot | Source::Peer => {
             let followed_since = if is_first { state.started } else { now };
             let limit = state.settings.bounds.rollout_limit;
             let earliest = (followed_since + UNKNOWN_AGE_GRACE).checked_sub(limit);
@@ -94,9 +107,9 @@
     match topic {
         Topic::Operator => apply_operator(state, &applied.changes, versions_named_at),
         Topic::Engines if applied.new_era => {
-            apply_copied_engines(state, &applied.changes, now + ERA_GRACE);
+            apply_copied_engines(state, &applied.changes, source, now + ERA_GRACE);
         }
-        Topic::Engines => apply_engines(state, &applied.changes, grace_until),
+        Topic::Engines => apply_engines(state, &applied.changes, source, grace_until),
     }
     applied.changes.len()
 }
@@ -114,7 +127,7 @@
 
 /// Applies the list of engines as a copy of the store holds it: engines that it lacks are kept until
 /// `grace_until`, and those that were removed before do not come back by it.
-fn apply_copied_engines(state: &State, changes: &[Record], grace_until: Instant) {
+fn apply_copied_engines(state: &State, changes: &[Record], source: Source, grace_until: Instant) {
     let listed = changes.iter().filter(|record| record.value.is_some());
     let (departed, listed): (Vec<Record>, Vec<Record>) = listed
         .cloned()
@@ -123,8 +136,8 @@
         event!(Info, "engine_listed_by_copy", engine = record.key);
     }
     let lacking = with_mirror(state, Topic::Engines, Mirror::release_held);
-    apply_engines(state, &listed, None);
-    apply_engines(state, &lacking, Some(grace_until));
+    apply_engines(state, &listed, source, None);
+    apply_engines(state, &lacking, source, Some(grace_until));
 }
 
 /// When the versions in a batch of records were named.
@@ -219,7 +232,7 @@
 
 /// Applies changes of the list of engines. A removed engine is kept until `grace_until`, if it is
 /// given, so that it can be listed again; otherwise it is dropped at once.
-fn apply_engines(state: &State, changes: &[Record], grace_until: Option<Instant>) {
+fn apply_engines(state: &State, changes: &[Record], source: Source, grace_until: Option<Instant>) {
     let now = clock::now();
     for record in changes {
         let Some(value) = &record.value else {
@@ -228,13 +241,14 @@
                     Info,
                     "engine_unlisted",
                     engine = record.key,
-                    grace = grace_until.is_some()
+                    grace = grace_until.is_some(),
+                    source = source.name()
                 );
             }
             continue;
         };
         match record::parse_engine(&record.key, value, &state.settings.regions) {
-            Ok(listing) => list_engine(state, listing, now),
+            Ok(listing) => list_engine(state, listing, source, now),
             Err(cause) => {
                 report_malformed(state, record, &cause);
                 lock(&state.engines).remove_listing(&record.key, None, now);
@@ -244,7 +258,12 @@
     state.has_engine_list.store(true, Ordering::Relaxed);
 }
 
-fn list_engine(state: &State, listing: jayspread_core::engine::Listing, now: Instant) {
+fn list_engine(
+    state: &State,
+    listing: jayspread_core::engine::Listing,
+    source: Source,
+    now: Instant,
+) {
     let id = listing.id.clone();
     let (address, draining) = (listing.address, listing.draining);
     let version = listing.loaded.as_ref().map_or(0, |loaded| loaded.version);
@@ -260,7 +279,8 @@
         address = address,
         draining = draining,
         version = version,
-        cold_ms = cold_ms
+        cold_ms = cold_ms,
+        source = source.name()
     );
 }
 
