A store that falls silent is noticed within the bound on news

What callers saw: requests at an engine that had said more than 2 s before that it leaves. Cause: the duty to learn of changes in time rested on a long poll of 15 s and 1.5 s more. A store, or a connection, that is open and silent was noticed after that, or when a probe of another host happened to tell of newer records; only then did the next host of the region begin to read. Ruled out: a list entry that an older one replaced, and a host that reads on from a wrong position: in the failing test the hosts log no entry at all until then. Change: the wait of a poll, the time for its answer and the pause between reads are shares of the shorter of drain_ms and config_apply_ms (core::reader::Pace), at the first reader of a region; the others keep long polls and check at once when it tells them that the store fails. A second read in a row that stalls behind a peer counts as an outage, two failures are told, and hosts that wait for their turn are woken.

--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -5,7 +5,7 @@
 //! from a reader to the other hosts of its region along a tree, so that no host sends the records to
 //! more than a few others.
 
-use crate::id::Host;
+use {crate::id::Host, std::time::Duration};
 
 /// Number of entry hosts of a region that read the store. With two, one may be stopped or cut off
 /// from the store without a delay of the news.
@@ -13,6 +13,61 @@
 /// Number of hosts to which each host passes on news.
 const TREE_ARITY: usize = 4;
 
+/// Longest wait of one long poll.
+const MAX_POLL_WAIT: Duration = Duration::from_millis(15_000);
+/// Longest time for an answer of the store, in addition to the wait that a long poll asks for.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(1_500);
+/// Longest pause between two reads of a topic that changes often.
+const MAX_BATCH_DELAY: Duration = Duration::from_millis(800);
+/// Wait of a long poll as a share of the time in which news must be in force.
+const POLL_SHARE: f64 = 0.45;
+/// The same for the time of an answer.
+const ANSWER_SHARE: f64 = 0.2;
+/// The same for the pause between two reads.
+const BATCH_SHARE: f64 = 0.2;
+
+/// Times of the reads of one topic. A store that falls silent is noticed when an answer is overdue,
+/// so that the pause, the wait and the answer together end well before the limit: what remains is for
+/// the host that takes over and for the hosts that it tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// Wait of one long poll.
+    pub poll_wait: Duration,
+    /// Time for an answer, in addition to that wait.
+    pub answer_time: Duration,
+    /// Pause before the next read after changes, so that those in quick succession take one call.
+    pub batch_delay: Duration,
+}
+
+impl Pace {
+    /// Returns the times for news that must be in force within `limit`; without one, the longest.
+    /// `rank` is that of the host among the readers of its region: it is enough that the first of
+    /// them notices the silence, since it tells the others, so that they poll with the longest wait.
+    pub fn new(limit: Option<Duration>, rank: usize) -> Self {
+        let share = |share: f64, longest: Duration| {
+            limit.map_or(longest, |limit| limit.mul_f64(share).min(longest))
+        };
+        let batch_delay = share(BATCH_SHARE, MAX_BATCH_DELAY);
+        if rank > 0 {
+            return Self {
+                poll_wait: MAX_POLL_WAIT,
+                answer_time: MAX_ANSWER_TIME,
+                batch_delay,
+            };
+        }
+        Self {
+            poll_wait: share(POLL_SHARE, MAX_POLL_WAIT),
+            answer_time: share(ANSWER_SHARE, MAX_ANSWER_TIME),
+            batch_delay,
+        }
+    }
+
+    /// Longest time from news until a host whose store has fallen silent has noticed that.
+    pub fn silence_noticed_after(&self) -> Duration {
+        self.batch_delay + self.poll_wait + self.answer_time
+    }
+}
+
 /// Another entry host of the same region.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Peer<'a> {
@@ -25,10 +80,15 @@
 /// Whether `own_host` reads the store. The first hosts in the order of their names do. Those that
 /// the store does not answer keep trying, and the next hosts read in addition.
 pub fn reads_store<'a>(own_host: &str, peers: impl IntoIterator<Item = Peer<'a>>) -> bool {
+    rank(own_host, peers) < READERS_PER_REGION
+}
+
+/// Number of hosts that come before `own_host` and that the store answers.
+pub fn rank<'a>(own_host: &str, peers: impl IntoIterator<Item = Peer<'a>>) -> usize {
     let preceding = peers
         .into_iter()
         .filter(|peer| !peer.store_unreachable && peer.host < own_host);
-    preceding.count() < READERS_PER_REGION
+    preceding.count()
 }
 
 /// Hosts to which `own_host` passes on news that came from the store at `root`. `hosts` are the entry
--- a/crates/core/tests/reader.rs
+++ b/crates/core/tests/reader.rs
@@ -4,9 +4,11 @@
 use {
     jayspread_core::{
         id::Host,
-        reader::{Peer, READERS_PER_REGION, children, reads_store},
+        reader::{Pace, Peer, READERS_PER_REGION, children, reads_store},
     },
     rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom},
+    rstest::rstest,
+    std::time::Duration,
 };
 
 fn host_names(count: usize) -> Vec<String> {
@@ -119,3 +121,30 @@
     let hosts: Vec<Host> = host_names(5).into_iter().map(Into::into).collect();
     assert!(children(&hosts, "edge-unknown", &hosts[0]).is_empty());
 }
+
+/// Guards against a silent store that is noticed so late that the next reader cannot meet the limit.
+#[rstest]
+#[case::two_seconds(2_000)]
+#[case::three_seconds(3_000)]
+#[case::four_seconds(4_000)]
+fn silent_store_is_noticed_with_time_to_spare(#[case] limit: u64) {
+    /// Answer of a store that is 60 times as slow as usual.
+    const SLOW_ANSWER: Duration = Duration::from_millis(240);
+    /// Time for the next reader's call and for telling the region, at usual and at slow answers.
+    const TAKEOVER_TIME: Duration = Duration::from_millis(300);
+    let limit = Duration::from_millis(limit);
+    let pace = Pace::new(Some(limit), 0);
+    assert!(
+        pace.silence_noticed_after() + TAKEOVER_TIME <= limit,
+        "{pace:?}"
+    );
+    assert!(pace.answer_time > SLOW_ANSWER, "{pace:?}");
+}
+
+#[rstest]
+#[case::without_a_limit(None, 0)]
+#[case::of_the_second_reader(Some(Duration::from_secs(2)), 1)]
+fn polls_are_long(#[case] limit: Option<Duration>, #[case] rank: usize) {
+    let pace = Pace::new(limit, rank);
+    assert!(pace.poll_wait >= Duration::from_secs(15), "{pace:?}");
+}
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -133,7 +133,10 @@
         offsets,
         store_unreachable: entry.store_lost,
     };
-    lock(&state.peers).insert(host.into(), peer);
+    let previous = lock(&state.peers).insert(host.into(), peer);
+    if previous.is_some_and(|p| p.store_unreachable != peer.store_unreachable) {
+        state.readers_changed.notify_waiters();
+    }
     state.peer_offsets.send_if_modified(|largest| {
         let updated = largest.max(offsets);
         std::mem::replace(largest, updated) != updated
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -164,6 +164,8 @@
     pub metrics: Metrics,
     /// Triggers an immediate heartbeat, because something that it reports has changed.
     pub heartbeat_due: Notify,
+    /// Notifies that a peer has lost or regained the store, which may change who reads it.
+    pub readers_changed: Notify,
     /// Largest positions that any peer has reported.
     pub peer_offsets: watch::Sender<Offsets>,
     /// Whether a fetch of records from peers is running.
@@ -218,6 +220,7 @@
             pool: Mutex::default(),
             metrics: Metrics::default(),
             heartbeat_due: Notify::new(),
+            readers_changed: Notify::new(),
             peer_offsets: watch::Sender::default(),
             is_fetching: AtomicBool::new(false),
             pending_news: Mutex::default(),
@@ -272,12 +275,17 @@
     /// Whether this host reads the store itself; otherwise it fetches the records from peers of its
     /// region.
     pub fn reads_store(&self) -> bool {
+        self.reader_rank() < reader::READERS_PER_REGION
+    }
+
+    /// Number of hosts of the region that read the store before this one does.
+    pub fn reader_rank(&self) -> usize {
         self.with_regional_peers(|peers| {
             let others = peers.map(|(host, peer)| reader::Peer {
                 host,
                 store_unreachable: peer.is_some_and(|peer| peer.store_unreachable),
             });
-            reader::reads_store(&self.settings.host, others)
+            reader::rank(&self.settings.host, others)
         })
     }
 
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -1,8 +1,9 @@
 //! Follows the platform's store: configuration, model versions, evacuations and the list of
 //! engines.
 //!
-//! One long poll per topic waits for changes, which keeps the number of calls to the store low. A
-//! stalled connection is detected when a peer reports a larger offset than this host has.
+//! One long poll per topic waits for changes, which keeps the number of calls to the store low. It
+//! ends early enough that a store or a connection that has gone silent is noticed in time, and at
+//! once when a peer reports a larger offset than this host has.
 
 use {
     crate::{
@@ -14,24 +15,24 @@
         metrics,
         shared::lock,
     },
-    jayspread_core::{mirror::Batch, placement::LISTING_GRACE},
-    jayspread_net::{clock, event},
+    jayspread_core::{mirror::Batch, placement::LISTING_GRACE, reader::Pace},
+    jayspread_net::{channel, clock, event},
     jayspread_platform::{
         Error,
         store::{Client, Read, Topic},
     },
     std::{
+        io,
         sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
     },
     tokio::time,
 };
 
-/// Maximum wait of one long poll.
-const POLL_WAIT: Duration = Duration::from_millis(15_000);
-/// Pause before the next read of the list of engines, so that changes in quick succession take one
-/// call.
-const BATCH_DELAY: Duration = Duration::from_millis(800);
+/// Time for the answer to a read that does not wait for changes.
+const ANSWER_TIME: Duration = Duration::from_millis(1_500);
+/// Number of consecutive failed calls up to which each is told to the region; a datagram may be lost.
+const TOLD_FAILURES: u32 = 2;
 /// Backoff after the first failed call; it grows by this much with each further one.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Maximum backoff after failed calls.
@@ -55,6 +56,11 @@
     state: Arc<State>,
     topic: Topic,
     client: Client,
+    /// The next read does not wait for changes, so that its answer shows at once whether the store
+    /// can be reached.
+    check_now: bool,
+    /// The last read was abandoned because a peer was ahead.
+    stalled: bool,
     /// Time of the first of consecutive failed calls, and their number.
     outage: Option<(Instant, u32)>,
     /// The store no longer has the records at the next offset.
@@ -71,6 +77,8 @@
         state,
         topic,
         client,
+        check_now: false,
+        stalled: false,
         outage: None,
         truncated: false,
         follows: false,
@@ -108,7 +116,10 @@
             } else {
                 CHECK_INTERVAL
             };
-            time::sleep(interval).await;
+            tokio::select! {
+                () = time::sleep(interval) => {}
+                () = self.state.readers_changed.notified() => {}
+            }
         }
         event!(Info, "reads_store", topic = topic_name(self.topic));
     }
@@ -148,14 +159,26 @@
             // After a failure, do not wait for changes: any response shows that the store is
             // reachable. The same after a time without reads, so that what was written in it is not
             // taken for news.
-            let wait = if self.follows {
-                POLL_WAIT
+            let rank = self.state.reader_rank();
+            let pace = Pace::new(self.state.settings.bounds.news_limit, rank);
+            let (wait, answer_time) = if self.check_now {
+                (Duration::ZERO, pace.answer_time)
+            } else if self.follows {
+                (pace.poll_wait, pace.answer_time)
             } else {
-                Duration::ZERO
+                (Duration::ZERO, ANSWER_TIME)
             };
+            self.check_now = false;
+            let is_lost = self.outage.is_some();
             let read = tokio::select! {
-                read = self.client.read(self.topic, from, wait) => Some(read),
-                () = lags_behind_peer(&self.state, self.topic) => None,
+                read = self.client.read(self.topic, from, wait, answer_time) => Some(read),
+                // While the store fails, a peer is ahead for as long as that lasts.
+                () = lags_behind_peer(&self.state, self.topic), if !is_lost => None,
+                () = precedes_readers(&self.state), if rank > 0 => {
+                    self.client = Client::new(self.state.settings.store_address);
+                    self.check_now = true;
+                    continue;
+                }
                 () = enough_readers(&self.state) => {
                     event!(Info, "stops_reading_store", topic = topic_name(self.topic));
                     self.clear_outage();
@@ -179,7 +202,7 @@
                     }
                     let changed = self.apply(batch, source) > 0;
                     if self.topic == Topic::Engines && changed {
-                        time::sleep(BATCH_DELAY).await;
+                        time::sleep(pace.batch_delay).await;
                     }
                 }
                 Some(Ok(Read::Truncated)) => {
@@ -193,20 +216,29 @@
                     return;
                 }
                 Some(Err(cause)) => self.on_failure(&cause).await,
-                None => {
-                    event!(
-                        Info,
-                        "store_read_stalled",
-                        topic = topic_name(self.topic),
-                        from = from
-                    );
-                    self.client = Client::new(self.state.settings.store_address);
-                }
+                None => self.on_stall(from).await,
             }
         }
     }
 
+    /// Abandons a connection on which the store has not sent what a peer has. If a new connection
+    /// stalls as well, the store does not answer this host.
+    async fn on_stall(&mut self, from: u64) {
+        event!(
+            Info,
+            "store_read_stalled",
+            topic = topic_name(self.topic),
+            from = from
+        );
+        self.client = Client::new(self.state.settings.store_address);
+        if std::mem::replace(&mut self.stalled, true) {
+            let cause = channel::Error::Broken(io::ErrorKind::TimedOut.into());
+            self.on_failure(&cause.into()).await;
+        }
+    }
+
     fn on_success(&mut self) {
+        self.stalled = false;
         metrics::count(&self.state.metrics.store_calls, "ok");
         let Some((since, failed_calls)) = self.clear_outage() else {
             return;
@@ -238,7 +270,11 @@
         let failed_calls = *failed_calls;
         if failed_calls == 1 {
             self.state.failing_topics.fetch_add(1, Ordering::Relaxed);
+        }
+        if failed_calls <= TOLD_FAILURES {
             gossip::tell_region(&self.state);
+        }
+        if failed_calls == 1 {
             event!(
                 Warn,
                 "store_lost",
@@ -264,6 +300,16 @@
     }
 }
 
+/// Completes when this host is the first of its region that the store answers.
+async fn precedes_readers(state: &State) {
+    while state.reader_rank() > 0 {
+        tokio::select! {
+            () = time::sleep(CHECK_INTERVAL) => {}
+            () = state.readers_changed.notified() => {}
+        }
+    }
+}
+
 /// Completes when enough peers of this region have read the store for [`HANDOVER_DELAY`].
 async fn enough_readers(state: &State) {
     let mut since = None;
