An engine whose entry is gone is not kept after a short silence of the store

What callers saw: requests at engines that had left, up to 2 s after this host knew of it. Cause: after any failed call, entries that are missing were kept for 2 s more, since a store that was down may list them again. A connection that went silent for 1.3 s counted as such an outage, although no entry can have expired in that time. Ruled out: that the entry was learned late: the log has engine_unlisted with grace=true in time. Change: entries are kept only if the store gave no answer for two beats of the engines (beat_interval_ms). Measured: case_4 of the silence tests failed before (3 of 20 requests reach the engine 2 s after its entry is gone) and passes.

--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -37,6 +37,9 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Maximum backoff after failed calls.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
+/// Time without answers, in beats of the engines, from which the entry of a live engine may have
+/// expired: entries do after three beats, and the last one may be a beat older than the outage.
+const EXPIRY_BEATS: u32 = 2;
 /// Time after startup during which a host waits to obtain records from peers of its region.
 const STARTUP_WAIT: Duration = Duration::from_millis(250);
 /// Time without any records after which a host reads the store even if it is not one of the
@@ -63,6 +66,8 @@
     stalled: bool,
     /// Time of the first of consecutive failed calls, and their number.
     outage: Option<(Instant, u32)>,
+    /// Arrival of the last answer.
+    answered_at: Instant,
     /// The store no longer has the records at the next offset.
     truncated: bool,
     /// The last read succeeded, and this host has read the topic since. Otherwise the next records
@@ -78,6 +83,7 @@
         topic,
         client,
         check_now: false,
+        answered_at: clock::now(),
         stalled: false,
         outage: None,
         truncated: false,
@@ -240,11 +246,15 @@
     fn on_success(&mut self) {
         self.stalled = false;
         metrics::count(&self.state.metrics.store_calls, "ok");
+        let now = clock::now();
+        let answered_at = std::mem::replace(&mut self.answered_at, now);
         let Some((since, failed_calls)) = self.clear_outage() else {
             return;
         };
-        let now = clock::now();
-        *lock(&self.state.grace_until) = Some(now + LISTING_GRACE);
+        let unanswered = now.saturating_duration_since(answered_at);
+        if unanswered >= self.state.settings.bounds.beat_interval * EXPIRY_BEATS {
+            *lock(&self.state.grace_until) = Some(now + LISTING_GRACE);
+        }
         event!(
             Info,
             "store_recovered",
