News of the store's records are told to the other regions, and passed on whichever way they came

What callers saw: a host alone in its region sent requests to an engine 2.6 and 3.0 s after it said that it leaves. Cause: a reader told the hosts of its own region only. A region to whose readers the store was silent learned of news when a probe of another region happened to reach one of them; that host told nobody, so that each next one waited for a probe of its own. Probes carry news between two given hosts once in some seconds. Change: a host that reads changes from the store tells the readers of each other region at once, and up to two more in place of those that have lost it (core::reader::contacts). A host that fetched records that nobody of its region had told passes them on. A host that has lost the store does not wait for it, and the others wait for 0.4 s, since the waits of hosts that tell each other add up.

--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -10,6 +10,8 @@
 /// Number of entry hosts of a region that read the store. With two, one may be stopped or cut off
 /// from the store without a delay of the news.
 pub const READERS_PER_REGION: usize = 2;
+/// Largest number of hosts of another region that are told of news.
+const MAX_CONTACTS: usize = 2 * READERS_PER_REGION;
 /// Number of hosts to which each host passes on news.
 const TREE_ARITY: usize = 4;
 
@@ -91,6 +93,21 @@
     preceding.count()
 }
 
+/// Hosts of another region that are told of news: those that read the store, and at most as many more
+/// in place of those that it does not answer. `peers` are in the order of their names.
+pub fn contacts<'a>(peers: impl IntoIterator<Item = Peer<'a>>) -> Vec<&'a str> {
+    let mut contacts = Vec::new();
+    let mut answered = 0;
+    for peer in peers {
+        if answered == READERS_PER_REGION || contacts.len() == MAX_CONTACTS {
+            break;
+        }
+        answered += usize::from(!peer.store_unreachable);
+        contacts.push(peer.host);
+    }
+    contacts
+}
+
 /// Hosts to which `own_host` passes on news that came from the store at `root`. `hosts` are the entry
 /// hosts of the region in the order of their names, with both of them. Hosts that see different
 /// members may leave gaps, which close when these hosts hear of the news by a probe.
--- a/crates/core/tests/reader.rs
+++ b/crates/core/tests/reader.rs
@@ -4,7 +4,7 @@
 use {
     jayspread_core::{
         id::Host,
-        reader::{Pace, Peer, READERS_PER_REGION, children, reads_store},
+        reader::{Pace, Peer, READERS_PER_REGION, children, contacts, reads_store},
     },
     rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom},
     rstest::rstest,
@@ -148,3 +148,24 @@
     let pace = Pace::new(limit, rank);
     assert!(pace.poll_wait >= Duration::from_secs(15), "{pace:?}");
 }
+
+/// News go to the readers of another region, and to further hosts in place of those that have lost the
+/// store, but never to all hosts of a large region.
+#[rstest]
+#[case::small(&[false], &[0])]
+#[case::all_reachable(&[false; 6], &[0, 1])]
+#[case::first_lost(&[true, false, false, false], &[0, 1, 2])]
+#[case::all_lost(&[true; 30], &[0, 1, 2, 3])]
+fn news_are_told_to_few_hosts_of_another_region(
+    #[case] store_unreachable: &[bool],
+    #[case] expected: &[usize],
+) {
+    let hosts = host_names(store_unreachable.len());
+    let peers = hosts.iter().zip(store_unreachable);
+    let peers = peers.map(|(host, unreachable)| Peer {
+        host,
+        store_unreachable: *unreachable,
+    });
+    let expected: Vec<&str> = expected.iter().map(|n| &*hosts[*n]).collect();
+    assert_eq!(contacts(peers), expected);
+}
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -23,7 +23,7 @@
     jayspread_platform::store::Topic,
     jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
     std::{
-        collections::BTreeSet,
+        collections::{BTreeMap, BTreeSet},
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
@@ -141,7 +141,9 @@
         let updated = largest.max(offsets);
         std::mem::replace(largest, updated) != updated
     });
+    // News of other regions are passed on in this one only after this host has the records.
     let root = (!entry.news_root.is_empty()).then(|| Host::from(entry.news_root.as_str()));
+    let root = root.filter(|root| state.is_in_region(root));
     let knows_newer = entry.revision > state.catalog().map_or(0, |catalog| catalog.revision);
     // Each tree is passed on by itself: a host that got the news through one of them must still tell
     // those that depend on it in the other.
@@ -358,6 +360,34 @@
     send_entry(state, root, &addresses);
 }
 
+/// Tells the hosts of each other region that read the store that this one has read records from it:
+/// the store may be silent to all of them.
+pub fn tell_other_regions(state: &State) {
+    let roster = lock(&state.roster);
+    let peers = lock(&state.peers);
+    let mut regions: BTreeMap<&str, Vec<(reader::Peer<'_>, Ipv4Addr)>> = BTreeMap::new();
+    for (host, contact) in roster.usable_members(Role::Entry) {
+        if contact.region == state.region {
+            continue;
+        }
+        let peer = reader::Peer {
+            host,
+            store_unreachable: peers.get(host).is_some_and(|peer| peer.store_unreachable),
+        };
+        let hosts = regions.entry(&contact.region).or_default();
+        hosts.push((peer, contact.address));
+    }
+    let mut addresses = Vec::new();
+    for hosts in regions.values() {
+        let names = reader::contacts(hosts.iter().map(|(peer, _)| *peer));
+        let chosen = hosts.iter().filter(|(peer, _)| names.contains(&peer.host));
+        addresses.extend(chosen.map(|(_, address)| *address));
+    }
+    drop(peers);
+    drop(roster);
+    send_entry(state, &state.settings.host, &addresses);
+}
+
 /// Tells all entry hosts of the region whether this one reaches the store, on which the choice of
 /// the readers depends.
 pub fn tell_region(state: &State) {
@@ -425,6 +455,13 @@
         stranded.map(|backend| backend.name.clone()).collect()
     }
 
+    /// Whether an entry host is in the region of this one.
+    fn is_in_region(&self, host: &str) -> bool {
+        let roster = lock(&self.roster);
+        let contact = roster.contact(host);
+        contact.is_some_and(|contact| contact.region == self.region)
+    }
+
     /// Next position of a topic, as peers and the store's reads use it.
     pub fn position(&self, topic: Topic) -> Position {
         self.offsets().get(topic)
--- a/crates/entry/src/front/peers.rs
+++ b/crates/entry/src/front/peers.rs
@@ -42,8 +42,8 @@
 /// HTTP path that serves records to peers.
 const PATH: &str = "/records";
 /// Time that the store gets to deliver records that a peer has already seen, before they are
-/// fetched from the peer.
-const STORE_DELAY: Duration = Duration::from_millis(700);
+/// fetched from the peer. Such waits of hosts that tell each other add up.
+const STORE_DELAY: Duration = Duration::from_millis(400);
 /// Interval between checks whether the store has delivered them.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time that a host which does not read the store waits for records from its own region before it
@@ -215,24 +215,27 @@
         let is_regional = lock(&self.roster)
             .contact(&news.peer)
             .is_some_and(|contact| contact.role == Role::Entry && contact.region == self.region);
-        let is_reader = self.offsets() != Offsets::default() && self.reads_store();
+        let store_answers = self.failing_topics.load(Ordering::Relaxed) == 0;
+        let is_reader = own != Offsets::default() && self.reads_store() && store_answers;
         let store_deadline = clock::now() + STORE_DELAY;
         while is_reader && self.is_behind(news.target) && clock::now() < store_deadline {
             time::sleep(STORE_CHECK_INTERVAL).await;
         }
+        let mut changes = 0;
         if is_regional && !self.has_reached(news) {
-            fetch(self, news.address).await;
+            changes += fetch(self, news.address).await;
         }
         if !is_reader {
-            self.fetch_from_region(news.target).await;
+            changes += self.fetch_from_region(news.target).await;
         }
         if !self.has_reached(news) {
-            fetch(self, news.address).await;
+            changes += fetch(self, news.address).await;
         }
-        if let Some(root) = &news.root
-            && !self.is_behind(news.target)
-        {
-            gossip::pass_on_news(self, root);
+        match &news.root {
+            Some(root) if !self.is_behind(news.target) => gossip::pass_on_news(self, root),
+            // Nobody has told the region, or only by chance.
+            None if changes > 0 => gossip::pass_on_news(self, &self.settings.host),
+            _ => {}
         }
     }
 
@@ -242,18 +245,21 @@
         !self.is_behind(news.target) && revision >= news.revision
     }
 
-    /// Fetches from peers of this region until the target is reached or none of them is ahead.
-    async fn fetch_from_region(self: &Arc<Self>, target: Offsets) {
+    /// Fetches from peers of this region until the target is reached or none of them is ahead;
+    /// returns the number of changes.
+    async fn fetch_from_region(self: &Arc<Self>, target: Offsets) -> usize {
+        let mut changes = 0;
         for attempt in 0..REGIONAL_ATTEMPTS {
             if !self.is_behind(target) {
-                return;
+                break;
             }
             match self.regional_peer_ahead() {
-                Some(peer) => fetch(self, peer).await,
+                Some(peer) => changes += fetch(self, peer).await,
                 None if attempt == 0 => time::sleep(REGIONAL_DELAY).await,
-                None => return,
+                None => break,
             }
         }
+        changes
     }
 
     /// Address of a random peer of this region that has applied more records. The random choice
@@ -268,8 +274,9 @@
     }
 }
 
-/// Fetches and applies the records of a peer that are newer than this host's.
-async fn fetch(state: &Arc<State>, peer: Ipv4Addr) {
+/// Fetches and applies the records of a peer that are newer than this host's; returns the number of
+/// changes.
+async fn fetch(state: &Arc<State>, peer: Ipv4Addr) -> usize {
     let address = SocketAddr::new(IpAddr::V4(peer), state.settings.internal_port);
     let mut client = Client::new(address, CONNECT_TIMEOUT);
     let own = state.offsets();
@@ -284,11 +291,11 @@
         Ok((head, body)) if head.status.is_success() => body,
         Ok((head, _)) => {
             event!(Warn, "pull_refused", peer = peer, status = head.status);
-            return;
+            return 0;
         }
         Err(cause) => {
             event!(Warn, "pull_failed", peer = peer, reason = cause);
-            return;
+            return 0;
         }
     };
     let records = match Records::decode(body) {
@@ -296,7 +303,7 @@
         Err(cause) => {
             state.metrics.malformed_packets.inc();
             event!(Warn, "pull_malformed", peer = peer, reason = cause);
-            return;
+            return 0;
         }
     };
     let received = clock::now();
@@ -319,4 +326,5 @@
         engines = engine_changes,
         took_us = clock::now().saturating_duration_since(received).as_micros()
     );
+    operator_changes + engine_changes
 }
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -305,6 +305,7 @@
         let changes = records::apply(&self.state, self.topic, batch, source, grace_until);
         if changes > 0 {
             gossip::pass_on_news(&self.state, &self.state.settings.host);
+            gossip::tell_other_regions(&self.state);
         }
         changes
     }
