Read and log the limits that engines name

What callers saw: nothing; engines got more requests than the limits that they had named. Cause: not known yet; a host did not read the header, so that its logs could not show whether it knew a limit. Ruled out: nothing by this change. Change: the header is decoded from answers and from the engine's report to its agent, agents pass it on, and engine_limit logs each change that an answer brings; the dump shows the limit and a metric counts the changes. What an older answer or an older report says does not replace a newer limit. No choice depends on it yet.

--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -216,6 +216,7 @@
         engine.pace = (state.load.slowdown * 1e2) as u32;
         engine.closed |= state.loading;
         engine.leaving = state.leaving;
+        engine.limit = state.limit;
     }
     let pieces = lock(&shared.pieces);
     let spreads = pieces.offered_versions().map(|(version, pieces)| Spread {
@@ -231,7 +232,7 @@
 struct ReportSchedule(Option<(Engine, Instant)>);
 
 impl ReportSchedule {
-    /// Whether a report is due. Changes of version or availability are reported at once, other
+    /// Whether a report is due. Changes of version, availability or limit are reported at once, other
     /// changes at most every `interval`, and an unchanged state every `idle_interval`.
     fn due(
         &self,
@@ -244,7 +245,7 @@
             return true;
         };
         let age = now.saturating_duration_since(*sent_at);
-        let availability = |e: &Engine| (e.version, e.answers, e.closed, e.leaving);
+        let availability = |e: &Engine| (e.version, e.answers, e.closed, e.leaving, e.limit);
         let urgent = availability(sent) != availability(engine);
         urgent || age >= idle_interval || *sent != *engine && age >= interval
     }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -1,6 +1,7 @@
 //! An engine as one entry host sees it: the platform's listing, the reports of the engine's agent,
 //! and the requests that this host has in flight there.
 
+mod limit;
 mod rotation;
 
 use {
@@ -18,7 +19,7 @@
     },
 };
 
-pub use rotation::Rotation;
+pub use {limit::Limit, rotation::Rotation};
 
 /// Age from which a report no longer describes the present load.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(1_500);
@@ -110,6 +111,8 @@
     pub max_new: u32,
     /// Whether the engine says that it is leaving.
     pub leaving: bool,
+    /// Requests per second that the engine takes from all hosts, if it names a limit.
+    pub limit: Option<f64>,
 }
 
 /// Place of a host among those that may send to an engine.
@@ -165,6 +168,8 @@
     resting_until: Option<Instant>,
     cold_until: Instant,
     recent_requests: Window,
+    /// Limit that the engine names.
+    pub limit: Limit,
     /// Hash of the id, which decides which hosts get the remainder of a shared limit.
     subject: u64,
 }
@@ -188,6 +193,7 @@
             resting_until: None,
             cold_until,
             recent_requests: Window::new(COLD_WINDOW),
+            limit: Limit::default(),
         }
     }
 
@@ -238,6 +244,7 @@
         if report.leaving {
             self.leaving = true;
         }
+        self.limit.apply_report(report.limit, sent_at);
         let occupied = report.load.running + report.load.waiting;
         let free = (self.listing.slots + QUEUE_LENGTH).saturating_sub(occupied);
         let max_new = report.max_new.saturating_sub(report.load.waiting);
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -228,6 +228,19 @@
         announced.map(|(id, _)| id)
     }
 
+    /// Applies the limit that an answer of the engine of a reservation names, in requests per second
+    /// from all hosts; the request was sent at `sent_at`. Returns true if that is news.
+    pub fn apply_limit(
+        &mut self,
+        reservation: &Reservation,
+        rate: Option<f64>,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let entry = self.reserved_entry(reservation);
+        entry.is_some_and(|entry| entry.engine.limit.apply_answer(rate, sent_at, now))
+    }
+
     /// Records that the engine of a reservation wants no request from this host until `until`.
     pub fn rest_until(&mut self, reservation: &Reservation, until: Instant) {
         if let Some(entry) = self.reserved_entry(reservation) {
--- a/crates/core/tests/engines/mod.rs
+++ b/crates/core/tests/engines/mod.rs
@@ -102,6 +102,7 @@
         },
         valid: Duration::from_millis(300),
         leaving: false,
+        limit: None,
     }
 }
 
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -7,9 +7,10 @@
 };
 
 /// Events about an engine that matter to the requests sent there.
-const ENGINE_EVENTS: [&str; 5] = [
+const ENGINE_EVENTS: [&str; 6] = [
     "engine_ejected",
     "engine_leaving",
+    "engine_limit",
     "engine_rests",
     "engine_unlisted",
     "engine_expired",
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -209,6 +209,7 @@
         closes_at: (!closes_in.is_zero()).then(|| now + closes_in),
         max_new,
         leaving: engine.leaving,
+        limit: engine.limit,
     };
     table.apply_report(address, engine.born_ms, report, now);
 }
--- a/crates/entry/src/front/metrics.rs
+++ b/crates/entry/src/front/metrics.rs
@@ -46,6 +46,8 @@
     pub store_era: Gauge,
     /// Engines that have said themselves that they are leaving.
     pub leaving_engines: Counter,
+    /// Limits that answers of engines have named, changed or ended.
+    pub limit_changes: Counter,
     /// Refusals of engines that asked for a rest.
     pub resting_engines: Counter,
     /// Parts of prompts that are refused because they crash engines.
@@ -80,6 +82,7 @@
             revision: Gauge::default(),
             store_era: Gauge::default(),
             leaving_engines: Counter::default(),
+            limit_changes: Counter::default(),
             resting_engines: Counter::default(),
             quarantined_parts: Gauge::default(),
             in_flight: Gauge::default(),
@@ -148,6 +151,11 @@
             "Engines that said they were leaving",
             self.leaving_engines.clone(),
         );
+        r.register(
+            "engine_limit_changes",
+            "Limits that answers of engines named, changed or ended",
+            self.limit_changes.clone(),
+        );
         r.register(
             "engine_rests",
             "Refusals of engines that asked for a rest",
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -418,6 +418,7 @@
                 "data_centre": engine.listing.data_centre,
                 "draining": engine.is_leaving(),
                 "managed": engine.managed,
+                "limit_per_second": engine.limit.rate(),
                 "resting_ms": engine.resting_for(now).map(|rest| rest.as_millis() as u64),
                 "cold": engine.is_cold(now),
                 "version": engine.version(now),
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -78,6 +78,8 @@
     state: Arc<State>,
     /// Reservation in the table of engines.
     pub reservation: Reservation,
+    /// Time at which the request was sent.
+    sent_at: Instant,
     outcome: Option<(Outcome, &'static str)>,
 }
 
@@ -87,6 +89,7 @@
         Self {
             state: Arc::clone(state),
             reservation,
+            sent_at: clock::now(),
             outcome: None,
         }
     }
@@ -113,6 +116,17 @@
             );
             state.heartbeat_due.notify_one();
         }
+        let limited =
+            lock(&state.engines).apply_limit(reservation, metadata.limit, self.sent_at, now);
+        if limited {
+            state.metrics.limit_changes.inc();
+            event!(
+                Info,
+                "engine_limit",
+                engine = reservation.id,
+                per_second = metadata.limit.unwrap_or(-1.0)
+            );
+        }
         if let Some(rest) = metadata.rest {
             lock(&state.engines).rest_until(reservation, now + rest);
             state.metrics.resting_engines.inc();
