A request that crashes its engines is recognised by its content

What callers saw: a third of all requests refused while 13 to 32 engines ended under one request. Cause: a fault that travels with a request was looked for in the shared parts of its prompt only. This request came under new ids, 3 times a second; what was its own was not recorded, and answers to other requests cleared the part that it shares with them. Ruled out: crashes that were not counted (all sends ended as lost:ended), and differences between the repeats (host, target, body and prompt were the same in all 58, a trial on a scratch copy). Change: the hash of a request's host, target, prompt and body is kept in the ledger beside its parts, and passed on as these are. Content is refused from the second engine on and at once, explains crashes before a part that has the same ones, and is tried again after 5 s, or 60 s and more from the third engine on.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -36,6 +36,18 @@
     u64::from_le_bytes(prefix)
 }
 
+/// Hash of several texts, each of which counts with its length.
+pub fn digest(subject: &[u8], texts: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for text in std::iter::once(&subject).chain(texts) {
+        hasher.update(&(text.len() as u64).to_le_bytes());
+        hasher.update(text);
+    }
+    let mut prefix = [0; 8];
+    prefix.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(prefix)
+}
+
 /// Digest by which an idempotency key is claimed; keys are scoped to an organisation and a service.
 pub fn key(organisation: &str, service: &str, key: &str) -> Key {
     let mut hasher = blake3::Hasher::new_derive_key("jayspread idempotency key v1");
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantine of prompt parts that crash engines.
+//! Quarantine of prompt parts that crash engines, and of requests that do.
 //!
 //! A prompt consists of parts that requests share. Every entry host records which parts were in the
 //! requests that an engine was answering when it ended, and which parts were answered completely.
@@ -6,12 +6,17 @@
 //! no answer to it was completed in the meantime, and no other part explains the same crashes better.
 //! A part that stays suspect for a short time is quarantined: requests with it are refused. A
 //! completed answer, known to any host, clears a part that was suspected by mistake.
+//!
+//! The content of a request as a whole is recorded like a part, so that a request that comes again under
+//! another id is recognised although sound requests share its parts. It explains crashes as well as a
+//! part with the same ones. Fewer crashes are enough: a mistake concerns requests with the same
+//! content only, and most content is sent once.
 
 mod record;
 
 use {
     self::record::Record,
-    crate::id::score,
+    crate::id::{self, score},
     std::{
         cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
@@ -26,6 +31,10 @@
 
 /// Number of crashed instances from which a part is suspect.
 const SUSPECT_CRASHES: usize = 3;
+/// The same for the content of a request.
+const SUSPECT_REQUEST_CRASHES: usize = 2;
+/// Bit of a hash that tells the content of a request from a part.
+const REQUEST_BIT: u64 = 1;
 /// Lifetime of a crash, and so of a quarantine.
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 /// Shortest interval between two answers with the completion of the same part, and smallest
@@ -48,7 +57,30 @@
 
 /// Hash of the prompt part with this id.
 pub fn part(id: &str) -> Part {
-    score(b"prompt part", id)
+    score(b"prompt part", id) & !REQUEST_BIT
+}
+
+/// Hash of the content of a request: its target, the parts of its prompt as the caller states them, and
+/// its body.
+pub fn request(host: &str, target: &str, prompt: &str, body: &[u8]) -> Part {
+    id::digest(
+        b"request",
+        &[host.as_bytes(), target.as_bytes(), prompt.as_bytes(), body],
+    ) | REQUEST_BIT
+}
+
+/// Whether a hash is that of a request's content.
+fn is_request(part: Part) -> bool {
+    part & REQUEST_BIT != 0
+}
+
+/// Number of crashed instances from which a part, or the content of a request, is suspect.
+fn suspect_crashes(part: Part) -> usize {
+    if is_request(part) {
+        SUSPECT_REQUEST_CRASHES
+    } else {
+        SUSPECT_CRASHES
+    }
 }
 
 /// Hash of the engine instance with this id.
@@ -153,7 +185,7 @@
         let mut verdict = Verdict::Accept;
         let is_blamed = |part: &&Part| {
             let record = self.records.get(part);
-            record.is_some_and(|record| record.crashes.len() >= SUSPECT_CRASHES)
+            record.is_some_and(|record| record.crashes.len() >= suspect_crashes(**part))
         };
         let is_ambiguous = parts.iter().filter(is_blamed).nth(1).is_some();
         for part in parts {
@@ -249,7 +281,7 @@
                 .is_none_or(|at| now.saturating_duration_since(at) >= ANSWER_INTERVAL);
             let stated = |crash: &Crash| statement.crashes.iter().any(|(id, _)| id == crash);
             may_answer
-                && statement.crashes.len() < SUSPECT_CRASHES
+                && statement.crashes.len() < suspect_crashes(part)
                 && record.is_quarantined(now)
                 && !record.crashes.keys().all(stated)
         })
@@ -376,7 +408,8 @@
         if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&part) {
             self.evict();
         }
-        self.records.entry(part).or_default()
+        let record = || Record::new(is_request(part));
+        self.records.entry(part).or_insert_with(record)
     }
 
     /// Removes the oldest records, those without crashes first and candidates last.
@@ -411,7 +444,7 @@
         };
         let was_candidate = self.candidates.remove(&(Reverse(record.rank), part));
         record.rank = record.crashes.len();
-        let is_candidate = record.rank >= SUSPECT_CRASHES;
+        let is_candidate = record.rank >= suspect_crashes(part);
         if is_candidate {
             self.candidates.insert((Reverse(record.rank), part));
         }
@@ -419,7 +452,8 @@
     }
 
     /// Finds the suspect parts: the part with the most crashes explains these, and only the crashes
-    /// that are left count against the other parts.
+    /// that are left count against the other parts. Of a part and a request's content with as many, the
+    /// content explains them.
     fn attribute(&mut self, now: Instant) {
         let mut candidates: Vec<(Part, BTreeSet<Crash>)> = self
             .candidates
@@ -433,8 +467,8 @@
         let mut suspects = BTreeSet::new();
         while let Some((part, explained)) = candidates
             .iter()
-            .filter(|(_, crashes)| crashes.len() >= SUSPECT_CRASHES)
-            .min_by_key(|(part, crashes)| (Reverse(crashes.len()), *part))
+            .filter(|(part, crashes)| crashes.len() >= suspect_crashes(*part))
+            .min_by_key(|(part, crashes)| (Reverse(crashes.len()), !is_request(*part), *part))
             .cloned()
         {
             suspects.insert(part);
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -1,7 +1,10 @@
 //! What a host knows of one prompt part.
 
 use {
-    super::{Crash, MAX_CRASHES, Part, QUARANTINE_TIME, SUSPECT_CRASHES, Statement},
+    super::{
+        Crash, MAX_CRASHES, Part, QUARANTINE_TIME, SUSPECT_CRASHES, SUSPECT_REQUEST_CRASHES,
+        Statement,
+    },
     std::{
         cmp::Reverse,
         collections::BTreeMap,
@@ -11,6 +14,8 @@
 
 /// Number of crashed instances from which a part is probed seldom.
 const CERTAIN_CRASHES: usize = 5;
+/// The same for the content of a request.
+const CERTAIN_REQUEST_CRASHES: usize = 3;
 /// Time for which a part must be suspect without a break before it is quarantined; within it other
 /// hosts can state completions.
 const CONFIRMATION: Duration = Duration::from_millis(300);
@@ -30,6 +35,8 @@
 /// What is known of a part. Crashes that a completion refutes are removed, so all of these count.
 #[derive(Debug, Default)]
 pub(super) struct Record {
+    /// Whether the record is about the content of a request.
+    is_request: bool,
     pub(super) crashes: BTreeMap<Crash, Instant>,
     /// Newest known completed answer, from any host.
     pub(super) completed_at: Option<Instant>,
@@ -48,6 +55,33 @@
 }
 
 impl Record {
+    pub(super) fn new(is_request: bool) -> Self {
+        Self {
+            is_request,
+            ..Self::default()
+        }
+    }
+
+    /// Time for which it must be suspect before it is quarantined. The content of a request is at
+    /// once: each further send may end an engine, and a completion still clears it.
+    fn confirmation(&self) -> Duration {
+        if self.is_request {
+            Duration::ZERO
+        } else {
+            CONFIRMATION
+        }
+    }
+
+    /// Whether the crashes are so many that it is probed seldom.
+    fn is_certain(&self) -> bool {
+        let certain = if self.is_request {
+            CERTAIN_REQUEST_CRASHES
+        } else {
+            CERTAIN_CRASHES
+        };
+        self.crashes.len() >= certain
+    }
+
     pub(super) fn refutes(&self, crashed_at: Instant) -> bool {
         self.completed_at
             .is_some_and(|at| crashed_at < at + COMPLETION_MEMORY)
@@ -92,12 +126,13 @@
     }
 
     fn quarantined_at(&self) -> Option<Instant> {
-        self.suspect_since.map(|since| since + CONFIRMATION)
+        self.suspect_since.map(|since| since + self.confirmation())
     }
 
     /// Ends the confirmation time of a suspect part.
     pub(super) fn confirm(&mut self, now: Instant) {
-        if let (Some(since), Some(confirmed)) = (self.suspect_since, now.checked_sub(CONFIRMATION))
+        if let (Some(since), Some(confirmed)) =
+            (self.suspect_since, now.checked_sub(self.confirmation()))
         {
             self.suspect_since = Some(since.min(confirmed));
         }
@@ -111,7 +146,12 @@
     pub(super) fn remaining(&self, now: Instant) -> Duration {
         let mut times: Vec<Instant> = self.crashes.values().copied().collect();
         times.sort_unstable_by_key(|at| Reverse(*at));
-        times.get(SUSPECT_CRASHES - 1).map_or(Duration::ZERO, |at| {
+        let needed = if self.is_request {
+            SUSPECT_REQUEST_CRASHES
+        } else {
+            SUSPECT_CRASHES
+        };
+        times.get(needed - 1).map_or(Duration::ZERO, |at| {
             (*at + QUARANTINE_TIME).saturating_duration_since(now)
         })
     }
@@ -124,7 +164,7 @@
 
     /// Time of the next probe by the first host.
     fn next_probe(&self) -> Option<Instant> {
-        let interval = if self.crashes.len() < CERTAIN_CRASHES {
+        let interval = if !self.is_certain() {
             PROBE_INTERVAL
         } else {
             CERTAIN_PROBE_INTERVAL * (1 << self.failed_probes.min(MAX_DOUBLINGS))
@@ -138,7 +178,7 @@
     pub(super) fn retry_after(&self, now: Instant) -> Duration {
         let remaining = self.remaining(now);
         match self.next_probe() {
-            Some(at) if self.crashes.len() < CERTAIN_CRASHES => {
+            Some(at) if !self.is_certain() => {
                 remaining.min(at.saturating_duration_since(now).max(PROBE_STAGGER))
             }
             _ => remaining,
--- /dev/null
+++ b/crates/core/tests/quarantine_request.rs
@@ -0,0 +1,88 @@
+//! Tests of blaming the content of a request as a whole, beside the parts of its prompt.
+
+use {
+    jayspread_core::quarantine::{Ledger, Part, Verdict, part, request},
+    rstest::rstest,
+    std::time::{Duration, Instant},
+};
+
+fn content(body: &str) -> Part {
+    request("x.example", "/s/1", "f0:40,own:100", body.as_bytes())
+}
+
+fn accepts(ledger: &mut Ledger, parts: &[Part], now: Instant) -> bool {
+    ledger.check(parts, |_| 1_000, now) == Verdict::Accept
+}
+
+/// Guards against a request that comes again under new ids while answers to other requests clear the
+/// part that they share.
+#[test]
+fn content_is_refused_after_two_crashes_though_its_part_is_sound() {
+    let now = Instant::now();
+    let (shared, bad) = (part("f0"), content("bad"));
+    let mut ledger = Ledger::default();
+    for (second, engine) in (0..).zip(["i-1", "i-2"]) {
+        let now = now + Duration::from_secs(second);
+        assert!(accepts(&mut ledger, &[shared, bad], now), "before {engine}");
+        ledger.record_crash(&[shared, bad], engine, now);
+        ledger.record_completion(&[shared, content("sound")], now);
+    }
+    let now = now + Duration::from_secs(1);
+    assert!(!accepts(&mut ledger, &[shared, bad], now));
+    assert!(accepts(&mut ledger, &[shared, content("sound")], now));
+    assert!(accepts(&mut ledger, &[shared, content("new")], now));
+}
+
+/// Guards against blaming the wrong one of a part and the contents of the requests that have it.
+#[rstest]
+#[case::one_request(&["a", "a", "a"], true)]
+#[case::many_requests_with_one_part(&["a", "b", "c"], false)]
+fn crashes_are_explained_by_what_they_have_in_common(
+    #[case] contents: &[&str],
+    #[case] content_is_to_blame: bool,
+) {
+    let now = Instant::now();
+    let shared = part("f0");
+    let mut ledger = Ledger::default();
+    for (engine, name) in contents.iter().enumerate() {
+        ledger.record_crash(&[shared, content(name)], &format!("i-{engine}"), now);
+    }
+    let later = now + Duration::from_secs(1);
+    let part_accepted = accepts(&mut ledger, &[shared, content("new")], later);
+    assert_eq!(part_accepted, content_is_to_blame);
+    let content_accepted = accepts(&mut ledger, &[content("a")], later);
+    assert_eq!(content_accepted, !content_is_to_blame);
+}
+
+/// Guards against refusing content that many callers send, such as a status query, because it was at
+/// engines that ended for another reason.
+#[test]
+fn content_that_was_answered_lately_is_not_blamed() {
+    let now = Instant::now();
+    let popular = content("");
+    let mut ledger = Ledger::default();
+    ledger.record_completion(&[popular], now);
+    for engine in ["i-1", "i-2", "i-3"] {
+        ledger.record_crash(&[popular], engine, now + Duration::from_secs(5));
+    }
+    assert!(accepts(
+        &mut ledger,
+        &[popular],
+        now + Duration::from_secs(6)
+    ));
+}
+
+#[rstest]
+#[case::of_another_host("y.example", "/s/1", "f0:40", "body")]
+#[case::of_another_target("x.example", "/s/2", "f0:40", "body")]
+#[case::with_another_prompt("x.example", "/s/1", "f1:40", "body")]
+#[case::with_another_body("x.example", "/s/1", "f0:40", "ydob")]
+fn contents_differ(
+    #[case] host: &str,
+    #[case] target: &str,
+    #[case] prompt: &str,
+    #[case] body: &str,
+) {
+    let first = request("x.example", "/s/1", "f0:40", b"body");
+    assert_ne!(request(host, target, prompt, body.as_bytes()), first);
+}
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -181,9 +181,8 @@
             }
             Verdict::Refuse { part, retry_after } => {
                 let index = self.prompt_parts.iter().position(|own| *own == part);
-                let id = index.map_or("unknown".into(), |index| {
-                    self.request.shared_parts[index].clone()
-                });
+                let id = index.and_then(|index| self.request.shared_parts.get(index));
+                let id = id.map_or("request".into(), Clone::clone);
                 self.trace_event(
                     "quarantined",
                     format_args!("part={id} part_hash={part:016x}"),
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -20,7 +20,7 @@
         call::Call,
         catalog::{Catalog, Organisation, Route},
         outlier::Outcome,
-        quarantine,
+        quarantine::{self, Part},
     },
     jayspread_net::{body, clock},
     jayspread_platform::header as wire,
@@ -64,6 +64,17 @@
     }
 }
 
+/// Hash of the content of a request, by which it is recognised under another id.
+fn content(parts: &Parts, body: &[u8]) -> Part {
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    quarantine::request(host, target, wire::prompt(&parts.headers), body)
+}
+
 /// Validates a request and reads its body.
 async fn accept(
     state: Arc<State>,
@@ -112,8 +123,9 @@
             catalog.revision
         ),
     );
-    let prompt_parts = request.shared_parts.iter();
-    let prompt_parts = prompt_parts.map(|id| quarantine::part(id)).collect();
+    let shared_parts = request.shared_parts.iter();
+    let mut prompt_parts: Vec<Part> = shared_parts.map(|id| quarantine::part(id)).collect();
+    prompt_parts.push(content(&parts, &body));
     state.in_flight.fetch_add(1, Ordering::AcqRel);
     Ok(Exchange {
         state,
