A host without a share of a limit takes its turn when no reports arrive

What callers saw: nothing yet; found on reading the change. An engine that has named a limit in its agent's reports would get nothing more from hosts without a share once the agent is gone, whether the limit holds or not. Cause: the wait for the end of the limit rested on reports that were once seen, not on reports that arrive. Ruled out: hosts with a share: they learn of the end by their own requests. Change: only a host that gets reports waits for them; another sends one request in its turn.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -403,8 +403,10 @@
     /// Time until this host may send another request within its share of the limit that the engine
     /// names; zero without a limit. See [`Engine::has_capacity`] for `default_place`.
     pub fn limited_for(&mut self, default_place: Place, now: Instant) -> Duration {
-        let place = self.granted_place(now).unwrap_or(default_place);
-        self.limit.wait(place, self.subject, now)
+        let granted = self.granted_place(now);
+        let place = granted.unwrap_or(default_place);
+        let reports_arrive = granted.is_some();
+        self.limit.wait(place, self.subject, reports_arrive, now)
     }
 
     /// This host's place among the recipients of the agent's reports, if there is a recent one.
--- a/crates/core/src/engine/limit.rs
+++ b/crates/core/src/engine/limit.rs
@@ -90,8 +90,14 @@
 
     /// Time until this host may send another request; zero if it may now. `subject` decides which
     /// hosts get the remainder of the limit. A host without a share sends a request at its turn, unless
-    /// reports will tell it of the end of the limit.
-    pub fn wait(&mut self, place: Place, subject: u64, now: Instant) -> Duration {
+    /// reports, which `reports_arrive` says that it gets, will tell it of the end of the limit.
+    pub fn wait(
+        &mut self,
+        place: Place,
+        subject: u64,
+        reports_arrive: bool,
+        now: Instant,
+    ) -> Duration {
         let Some((rate, named_at)) = self.named else {
             return Duration::ZERO;
         };
@@ -100,7 +106,7 @@
         if share > 0 {
             return self.sent.time_to_room(share as usize, now);
         }
-        if self.is_reported {
+        if self.is_reported && reports_arrive {
             return WINDOW;
         }
         let rank = (place.index % place.hosts.max(1)) as u32;
--- a/crates/core/tests/limit.rs
+++ b/crates/core/tests/limit.rs
@@ -36,7 +36,7 @@
         });
         for (index, limit) in limits.iter_mut().enumerate() {
             let place = Place { index, hosts };
-            if limit.wait(place, SUBJECT, now).is_zero() {
+            if limit.wait(place, SUBJECT, false, now).is_zero() {
                 limit.record_request(place, now);
                 answers.push((index, now));
                 requests.push(now);
@@ -112,3 +112,23 @@
     };
     assert_eq!(limit.rate().is_some(), is_kept);
 }
+
+/// Guards against a host without a share that waits for ever for reports of an agent that is gone.
+#[rstest]
+#[case::reports_arrive(true, false)]
+#[case::agent_is_gone(false, true)]
+fn host_without_a_share_takes_its_turn_if_no_reports_arrive(
+    #[case] reports_arrive: bool,
+    #[case] takes_turn: bool,
+) {
+    let start = Instant::now();
+    let mut limit = Limit::default();
+    limit.apply_report(Some(0.3), start);
+    let without_share = (0..3)
+        .map(|index| Place { index, hosts: 3 })
+        .find(|place| !limit.wait(*place, SUBJECT, true, start).is_zero());
+    let place = without_share.expect("one request for three hosts");
+    let later = start + Duration::from_secs(60);
+    let wait = limit.wait(place, SUBJECT, reports_arrive, later);
+    assert_eq!(wait.is_zero(), takes_turn);
+}
