--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -232,8 +232,8 @@
 struct ReportSchedule(Option<(Engine, Instant)>);
 
 impl ReportSchedule {
-    /// Whether a report is due. Changes of version, availability or limit are reported at once, other
-    /// changes at most every `interval`, and an unchanged state every `idle_interval`.
+    /// Whether a report is due. Changes of version, availability or limit are reported at once,
+    /// other changes at most every `interval`, and an unchanged state every `idle_interval`.
     fn due(
         &self,
         engine: &Engine,
--- a/crates/core/src/engine/limit.rs
+++ b/crates/core/src/engine/limit.rs
@@ -1,17 +1,17 @@
-//! Limit that an engine names in its answers: the number of requests per second that it takes from all
-//! hosts together. Each host sends its share, whole requests in a window, whose sum over all hosts
-//! is within the limit.
+//! Limit that an engine names in its answers: the number of requests per second that it takes from
+//! all hosts together. Each host sends its share, whole requests in a window, whose sum over all
+//! hosts is within the limit.
 
 use {
     crate::{audience, engine::Place, window::Window},
     std::time::{Duration, Instant},
 };
 
-/// Window in which the requests of a host are counted. A shorter one would leave most hosts without a
-/// whole request at low limits.
+/// Window in which the requests of a host are counted. A shorter one would leave most hosts without
+/// a whole request at low limits.
 const WINDOW: Duration = Duration::from_secs(4);
-/// Age by which a report must be newer than an answer to take back what that answer named. The agent
-/// read the engine's state some time before it sent the report.
+/// Age by which a report must be newer than an answer to take back what that answer named. The
+/// agent read the engine's state some time before it sent the report.
 const REPORT_LAG: Duration = Duration::from_millis(300);
 /// Time between the turns of two hosts without a share.
 const TURN: Duration = Duration::from_secs(2);
@@ -24,8 +24,8 @@
     /// The reports of the engine's agent state the limit, so that one without it ends the limit.
     is_reported: bool,
     sent: Window,
-    /// Time from which a host without a share may send one request, to learn whether the limit still
-    /// holds. Known from the first time that the limit keeps this host from sending.
+    /// Time from which a host without a share may send one request, to learn whether the limit
+    /// still holds. Known from the first time that the limit keeps this host from sending.
     turn_at: Option<Instant>,
 }
 
@@ -89,8 +89,9 @@
     }
 
     /// Time until this host may send another request; zero if it may now. `subject` decides which
-    /// hosts get the remainder of the limit. A host without a share sends a request at its turn, unless
-    /// reports, which `reports_arrive` says that it gets, will tell it of the end of the limit.
+    /// hosts get the remainder of the limit. A host without a share sends a request at its turn,
+    /// unless reports, which `reports_arrive` says that it gets, will tell it of the end of the
+    /// limit.
     pub fn wait(
         &mut self,
         place: Place,
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -228,8 +228,8 @@
         announced.map(|(id, _)| id)
     }
 
-    /// Applies the limit that an answer of the engine of a reservation names, in requests per second
-    /// from all hosts; the request was sent at `sent_at`. Returns true if that is news.
+    /// Applies the limit that an answer of the engine of a reservation names, in requests per
+    /// second from all hosts; the request was sent at `sent_at`. Returns true if that is news.
     pub fn apply_limit(
         &mut self,
         reservation: &Reservation,
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -7,10 +7,10 @@
 //! A part that stays suspect for a short time is quarantined: requests with it are refused. A
 //! completed answer, known to any host, clears a part that was suspected by mistake.
 //!
-//! The content of a request as a whole is recorded like a part, so that a request that comes again under
-//! another id is recognised although sound requests share its parts. It explains crashes as well as a
-//! part with the same ones. Fewer crashes are enough: a mistake concerns requests with the same
-//! content only, and most content is sent once.
+//! The content of a request as a whole is recorded like a part, so that a request that comes again
+//! under another id is recognised although sound requests share its parts. It explains crashes as
+//! well as a part with the same ones. Fewer crashes are enough: a mistake concerns requests with
+//! the same content only, and most content is sent once.
 
 mod record;
 
@@ -60,8 +60,8 @@
     score(b"prompt part", id) & !REQUEST_BIT
 }
 
-/// Hash of the content of a request: its target, the parts of its prompt as the caller states them, and
-/// its body.
+/// Hash of the content of a request: its target, the parts of its prompt as the caller states them,
+/// and its body.
 pub fn request(host: &str, target: &str, prompt: &str, body: &[u8]) -> Part {
     id::digest(
         b"request",
@@ -452,8 +452,8 @@
     }
 
     /// Finds the suspect parts: the part with the most crashes explains these, and only the crashes
-    /// that are left count against the other parts. Of a part and a request's content with as many, the
-    /// content explains them.
+    /// that are left count against the other parts. Of a part and a request's content with as many,
+    /// the content explains them.
     fn attribute(&mut self, now: Instant) {
         let mut candidates: Vec<(Part, BTreeSet<Crash>)> = self
             .candidates
--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -29,8 +29,8 @@
 const BATCH_SHARE: f64 = 0.2;
 
 /// Times of the reads of one topic. A store that falls silent is noticed when an answer is overdue,
-/// so that the pause, the wait and the answer together end well before the limit: what remains is for
-/// the host that takes over and for the hosts that it tells.
+/// so that the pause, the wait and the answer together end well before the limit: what remains is
+/// for the host that takes over and for the hosts that it tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pace {
     /// Wait of one long poll.
@@ -44,7 +44,8 @@
 impl Pace {
     /// Returns the times for news that must be in force within `limit`; without one, the longest.
     /// `rank` is that of the host among the readers of its region: it is enough that the first of
-    /// them notices the silence, since it tells the others, so that they poll with the longest wait.
+    /// them notices the silence, since it tells the others, so that they poll with the longest
+    /// wait.
     pub fn new(limit: Option<Duration>, rank: usize) -> Self {
         let share = |share: f64, longest: Duration| {
             limit.map_or(longest, |limit| limit.mul_f64(share).min(longest))
@@ -64,7 +65,7 @@
         }
     }
 
-    /// Longest time from news until a host whose store has fallen silent has noticed that.
+    /// Longest time from news until a host with these times notices that its store is silent.
     pub fn silence_noticed_after(&self) -> Duration {
         self.batch_delay + self.poll_wait + self.answer_time
     }
@@ -93,8 +94,8 @@
     preceding.count()
 }
 
-/// Hosts of another region that are told of news: those that read the store, and at most as many more
-/// in place of those that it does not answer. `peers` are in the order of their names.
+/// Hosts of another region that are told of news: those that read the store, and at most as many
+/// more in place of those that it does not answer. `peers` are in the order of their names.
 pub fn contacts<'a>(peers: impl IntoIterator<Item = Peer<'a>>) -> Vec<&'a str> {
     let mut contacts = Vec::new();
     let mut answered = 0;
--- a/crates/core/src/window.rs
+++ b/crates/core/src/window.rs
@@ -36,8 +36,8 @@
         self.events.len()
     }
 
-    /// Time until fewer than `limit` events are in the window; zero if that is so at `now`. `limit` is
-    /// at least 1.
+    /// Time until fewer than `limit` events are in the window; zero if that is so at `now`. `limit`
+    /// is at least 1.
     pub fn time_to_room(&mut self, limit: usize, now: Instant) -> Duration {
         self.expire(now);
         let Some(index) = self.events.len().checked_sub(limit) else {
--- a/crates/core/tests/limit.rs
+++ b/crates/core/tests/limit.rs
@@ -14,8 +14,8 @@
 const WINDOW: Duration = Duration::from_secs(4);
 const SUBJECT: u64 = 7;
 
-/// Time in which all hosts send as much as they may, while the engine names `rate`; returns the times
-/// of the requests. The answers are applied in order.
+/// Time in which all hosts send as much as they may, while the engine names `rate`; returns the
+/// times of the requests. The answers are applied in order.
 fn send(
     limits: &mut [Limit],
     rate: Option<f64>,
@@ -47,8 +47,8 @@
     requests
 }
 
-/// Guards against shares that add up to more than the limit, and against hosts that never learn that it
-/// has ended.
+/// Guards against shares that add up to more than the limit, and against hosts that never learn
+/// that it has ended.
 #[rstest]
 fn hosts_together_stay_within_the_limit_and_return_after_it(
     #[values(1, 3, 9, 148)] hosts: usize,
@@ -87,7 +87,8 @@
     ReportSentAt(u64),
 }
 
-/// Guards against an older answer or report that takes back a limit. The limit was named at 1,000 ms.
+/// Guards against an older answer or report that takes back a limit. The limit was named at 1,000
+/// ms.
 #[rstest]
 #[case::earlier_request(true, News::AnswerTo(900), true)]
 #[case::later_request(true, News::AnswerTo(1_100), false)]
--- a/crates/core/tests/quarantine_request.rs
+++ b/crates/core/tests/quarantine_request.rs
@@ -14,8 +14,8 @@
     ledger.check(parts, |_| 1_000, now) == Verdict::Accept
 }
 
-/// Guards against a request that comes again under new ids while answers to other requests clear the
-/// part that they share.
+/// Guards against a request that comes again under new ids while answers to other requests clear
+/// the part that they share.
 #[test]
 fn content_is_refused_after_two_crashes_though_its_part_is_sound() {
     let now = Instant::now();
@@ -54,8 +54,8 @@
     assert_eq!(content_accepted, !content_is_to_blame);
 }
 
-/// Guards against refusing content that many callers send, such as a status query, because it was at
-/// engines that ended for another reason.
+/// Guards against refusing content that many callers send, such as a status query, because it was
+/// at engines that ended for another reason.
 #[test]
 fn content_that_was_answered_lately_is_not_blamed() {
     let now = Instant::now();
--- a/crates/core/tests/reader.rs
+++ b/crates/core/tests/reader.rs
@@ -122,7 +122,8 @@
     assert!(children(&hosts, "edge-unknown", &hosts[0]).is_empty());
 }
 
-/// Guards against a silent store that is noticed so late that the next reader cannot meet the limit.
+/// Guards against a silent store that is noticed so late that the next reader cannot meet the
+/// limit.
 #[rstest]
 #[case::two_seconds(2_000)]
 #[case::three_seconds(3_000)]
@@ -149,8 +150,8 @@
     assert!(pace.poll_wait >= Duration::from_secs(15), "{pace:?}");
 }
 
-/// News go to the readers of another region, and to further hosts in place of those that have lost the
-/// store, but never to all hosts of a large region.
+/// News go to the readers of another region, and to further hosts in place of those that have lost
+/// the store, but never to all hosts of a large region.
 #[rstest]
 #[case::small(&[false], &[0])]
 #[case::all_reachable(&[false; 6], &[0, 1])]
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -79,8 +79,8 @@
     pub call: Call,
     /// Engines already tried.
     pub tried: Vec<Engine>,
-    /// Hashes of the shared parts of the prompt, as in `request.shared_parts`, and at the end that of the
-    /// content of the request.
+    /// Hashes of the shared parts of the prompt, as in `request.shared_parts`, and at the end that
+    /// of the content of the request.
     pub prompt_parts: Vec<Part>,
     /// Whether this request tests a quarantined part.
     pub is_probe: bool,
--- a/crates/entry/src/front/records.rs
+++ b/crates/entry/src/front/records.rs
@@ -30,8 +30,8 @@
 pub enum Source {
     /// The store sent them as they were written.
     Changes,
-    /// The store sent the newest ones of their keys, or those written while this host did not follow
-    /// it: they are of unknown age.
+    /// The store sent the newest ones of their keys, or those written while this host did not
+    /// follow it: they are of unknown age.
     Snapshot,
     /// Another entry host sent them; they are of unknown age.
     Peer,
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -31,7 +31,8 @@
 
 /// Time for the answer to a read that does not wait for changes.
 const ANSWER_TIME: Duration = Duration::from_millis(1_500);
-/// Number of consecutive failed calls up to which each is told to the region; a datagram may be lost.
+/// Number of consecutive failed calls up to which each is told to the region; a datagram may be
+/// lost.
 const TOLD_FAILURES: u32 = 2;
 /// Backoff after the first failed call; it grows by this much with each further one.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -162,11 +163,11 @@
             let from = next_position(&self.state, self.topic)
                 .unwrap_or_default()
                 .offset;
+            let rank = self.state.reader_rank();
+            let pace = Pace::new(self.state.settings.bounds.news_limit, rank);
             // After a failure, do not wait for changes: any response shows that the store is
             // reachable. The same after a time without reads, so that what was written in it is not
             // taken for news.
-            let rank = self.state.reader_rank();
-            let pace = Pace::new(self.state.settings.bounds.news_limit, rank);
             let (wait, answer_time) = if self.check_now {
                 (Duration::ZERO, pace.answer_time)
             } else if self.follows {
