Log which engine ended on which content, and attempts that end without a result

`received` names the hash of the content, `engine_crashed` the engine and the number of crashes of the content that are left after completions, `caller_left` the last engine and the number of sends; `abandoned_sends` counts attempts that end without a result. No logic is changed.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -161,6 +161,12 @@
         }
     }
 
+    /// Number of known crashes of a part that no completion has refuted.
+    pub fn crash_count(&self, part: Part) -> usize {
+        let record = self.records.get(&part);
+        record.map_or(0, |record| record.crashes.len())
+    }
+
     /// Records that an engine completed the answer to a request with these parts. An answer that ends
     /// with its connection is complete only if its content shows it.
     pub fn record_completion(&mut self, parts: &[Part], now: Instant) {
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -95,9 +95,11 @@
         self.state.in_flight.fetch_sub(1, Ordering::AcqRel);
         if self.trace.is_some() {
             self.state.metrics.disconnected.inc();
+            let (after, sends) = (self.elapsed().as_millis(), self.call.sends());
+            let engine = self.tried.last().cloned().unwrap_or_else(|| "none".into());
             self.trace_event(
                 "caller_left",
-                format_args!("after_ms={}", self.elapsed().as_millis()),
+                format_args!("after_ms={after} sends={sends} engine={engine}"),
             );
             self.finish_trace(false);
         }
--- a/crates/entry/src/front/metrics.rs
+++ b/crates/entry/src/front/metrics.rs
@@ -26,6 +26,8 @@
     pub resumed: Counter,
     /// Callers that disconnected before their response was complete.
     pub disconnected: Counter,
+    /// Attempts that ended without a result: the caller left, or the deadline was reached.
+    pub abandoned_attempts: Counter,
     /// Time to the complete response or, for streams, to the first event, in seconds.
     pub first_byte: Histogram,
     /// Longest pause between two events of a stream, in seconds.
@@ -72,6 +74,7 @@
             retries: Counter::default(),
             resumed: Counter::default(),
             disconnected: Counter::default(),
+            abandoned_attempts: Counter::default(),
             first_byte: Histogram::new(latency_buckets()),
             longest_pause: Histogram::new(latency_buckets()),
             store_calls: Family::default(),
@@ -105,6 +108,11 @@
         r.register("repeats", "Sends beyond the first", self.retries.clone());
         r.register("resumed", "Streams resumed", self.resumed.clone());
         r.register("left", "Callers that left early", self.disconnected.clone());
+        r.register(
+            "abandoned_sends",
+            "Sends that ended without a result",
+            self.abandoned_attempts.clone(),
+        );
         r.register(
             "first_byte_seconds",
             "Time to the first byte",
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -203,9 +203,20 @@
             return;
         }
         let now = clock::now();
+        let mut crash_count = 0;
         self.state.update_quarantine(now, |ledger| {
             ledger.record_crash(&self.prompt_parts, engine, now);
+            let content = self.prompt_parts.last();
+            crash_count = content.map_or(0, |content| ledger.crash_count(*content));
         });
+        event!(
+            Info,
+            "engine_crashed",
+            request = self.request.id,
+            engine = engine,
+            reason = reason,
+            crashes = crash_count
+        );
     }
 
     /// Records that an engine has sent its whole answer.
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -105,12 +105,16 @@
     let is_caller_retry = request
         .timeout
         .is_some_and(|timeout| state.is_caller_retry(&route, timeout));
+    let shared_parts = request.shared_parts.iter();
+    let mut prompt_parts: Vec<Part> = shared_parts.map(|id| quarantine::part(id)).collect();
+    let content = content(&parts, &body);
+    prompt_parts.push(content);
     let mut trace = Trace::new(&request.id, state.settings.options.log_sample);
     trace.add(
         "received",
         format_args!(
             "route={} kind={:?} organisation={} prompt={} parts={} timeout_ms={} \
-             caller_retry={} revision={}",
+             caller_retry={} revision={} content={content:016x}",
             route.name,
             route.kind,
             organisation
@@ -123,9 +127,6 @@
             catalog.revision
         ),
     );
-    let shared_parts = request.shared_parts.iter();
-    let mut prompt_parts: Vec<Part> = shared_parts.map(|id| quarantine::part(id)).collect();
-    prompt_parts.push(content(&parts, &body));
     state.in_flight.fetch_add(1, Ordering::AcqRel);
     Ok(Exchange {
         state,
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -156,6 +156,9 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        if self.outcome.is_none() {
+            self.state.metrics.abandoned_attempts.inc();
+        }
         let outcome = self.outcome.map(|(outcome, _)| outcome);
         let ejected = lock(&self.state.engines).release(&self.reservation, outcome, clock::now());
         if let (true, Some((_, reason))) = (ejected, self.outcome) {
