An engine's crash is recorded although nobody awaits the attempt any more

Cause: what becomes of an attempt was recorded by the code that awaits the answer, so that the record ended with the caller, a time-out of the attempt or a stall. Ruled out: completed answers that clear the crashes (no sound request had the content, also beside a hot lookup), and a break that is not recognised (each break that somebody awaited was recorded).

An attempt (`front::attempt`) now settles its own account when it is dropped, whatever the reason. A plain answer is read on for 0.2 s, which shows the crash, or the completed answer that protects a popular request. A stream is closed at once, as before, since its engine would go on reading the prompt. What is still open then is remembered by engine instance (`core::quarantine::abandoned`): the engine is checked 0.3 s and 2 s later, with an idle connection or a new one that goes to the pool, and an engine that refuses connections has crashed on what was abandoned there. The same holds when the connection of another request is refused. A stopping host waits for its first checks and passes its news on.

The tests crashing_request_reaches_many_engines fail before and pass now.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -7,15 +7,19 @@
 //! A part that stays suspect for a short time is quarantined: requests with it are refused. A
 //! completed answer, known to any host, clears a part that was suspected by mistake.
 //!
+//! An attempt counts whether or not anybody still awaits its answer when the engine ends.
+//!
 //! The content of a request as a whole is recorded like a part, so that a request that comes again
 //! under another id is recognised although sound requests share its parts. It explains crashes as
 //! well as a part with the same ones. Fewer crashes are enough: a mistake concerns requests with
 //! the same content only, and most content is sent once.
 
+mod abandoned;
+mod blame;
 mod record;
 
 use {
-    self::record::Record,
+    self::{abandoned::Abandoned, record::Record},
     crate::id::{self, score},
     std::{
         cmp::Reverse,
@@ -24,6 +28,8 @@
     },
 };
 
+pub use abandoned::{Check, Finding};
+
 /// Hash of a prompt part.
 pub type Part = u64;
 /// Hash of an engine instance that ended.
@@ -138,6 +144,7 @@
     unsent: BTreeMap<Part, u8>,
     /// Quarantined parts as of the last call of [`Ledger::changes`].
     reported: BTreeSet<Part>,
+    abandoned: Abandoned,
     expired_at: Option<Instant>,
 }
 
@@ -443,62 +450,6 @@
         self.unsent.insert(part, NEWS_REPEATS);
     }
 
-    /// Returns true if the part is or was a candidate, so that crashes must be attributed again.
-    fn update_candidate(&mut self, part: Part) -> bool {
-        let Some(record) = self.records.get_mut(&part) else {
-            return false;
-        };
-        let was_candidate = self.candidates.remove(&(Reverse(record.rank), part));
-        record.rank = record.crashes.len();
-        let is_candidate = record.rank >= suspect_crashes(part);
-        if is_candidate {
-            self.candidates.insert((Reverse(record.rank), part));
-        }
-        was_candidate || is_candidate
-    }
-
-    /// Finds the suspect parts: the part with the most crashes explains these, and only the crashes
-    /// that are left count against the other parts. Of a part and a request's content with as many,
-    /// the content explains them.
-    fn attribute(&mut self, now: Instant) {
-        let mut candidates: Vec<(Part, BTreeSet<Crash>)> = self
-            .candidates
-            .iter()
-            .take(MAX_CANDIDATES)
-            .filter_map(|(_, part)| {
-                let record = self.records.get(part)?;
-                Some((*part, record.crashes.keys().copied().collect()))
-            })
-            .collect();
-        let mut suspects = BTreeSet::new();
-        while let Some((part, explained)) = candidates
-            .iter()
-            .filter(|(part, crashes)| crashes.len() >= suspect_crashes(*part))
-            .min_by_key(|(part, crashes)| (Reverse(crashes.len()), !is_request(*part), *part))
-            .cloned()
-        {
-            suspects.insert(part);
-            for (_, crashes) in &mut candidates {
-                crashes.retain(|crash| !explained.contains(crash));
-            }
-        }
-        for part in self.suspects.difference(&suspects) {
-            if let Some(record) = self.records.get_mut(part) {
-                record.suspect_since = None;
-                record.probed_at = None;
-                record.failed_probes = 0;
-            }
-        }
-        for part in suspects.difference(&self.suspects) {
-            if let Some(record) = self.records.get_mut(part) {
-                record.suspect_since = Some(now);
-                // Hosts that know a completion answer this statement within the confirmation time.
-                self.unsent.insert(*part, NEWS_REPEATS);
-            }
-        }
-        self.suspects = suspects;
-    }
-
     fn expire_if_due(&mut self, now: Instant) {
         if self
             .expired_at
--- /dev/null
+++ b/crates/entry/src/front/attempt.rs
@@ -0,0 +1,223 @@
+//! One attempt at one engine, from the request until it is known whether the engine crashed on it.
+
+use {
+    crate::{
+        front::{
+            quarantine::MAX_EVENTS_BEFORE_CRASH,
+            state::State,
+            upstream::{Permit, read_head},
+        },
+        shared::lock,
+    },
+    http::StatusCode,
+    jayspread_core::{
+        outlier::Outcome,
+        quarantine::{Check, Part},
+    },
+    jayspread_net::channel::{Channel, Error},
+    std::{
+        ops::{Deref, DerefMut},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{runtime::Handle, time},
+};
+
+/// Time for which the answer to a plain request is still read when nobody awaits it any more. It is
+/// short beside the time within which an engine must be told that its caller has left.
+const LINGER_TIME: Duration = Duration::from_millis(200);
+/// Largest size of such an answer, bytes.
+const MAX_LINGERING_BYTES: usize = 1 << 20;
+
+/// What was sent to the engine.
+#[derive(Debug, Clone)]
+pub struct Subject {
+    /// Id of the request.
+    pub request_id: Box<str>,
+    /// Hashes of what may crash engines.
+    pub parts: Arc<[Part]>,
+    /// Whether the answer is a stream.
+    pub is_stream: bool,
+}
+
+/// How much is known of the engine's fate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    /// The engine may still answer, or crash.
+    Open,
+    /// The connection is of no more use, but the engine may still crash.
+    Failed,
+    /// Nothing remains to be recorded.
+    Settled,
+}
+
+/// An attempt with its connection.
+pub struct Line {
+    /// Permit at the engine.
+    pub permit: Permit,
+    /// Connection that carries the request.
+    pub channel: Channel,
+    /// Status of the answer, once its head has been read.
+    pub status: Option<StatusCode>,
+    subject: Subject,
+    fate: Fate,
+}
+
+impl Line {
+    fn state(&self) -> &Arc<State> {
+        self.permit.state()
+    }
+
+    /// Records that nothing is to be learnt from this attempt: the engine has not run the request,
+    /// or has answered with an error of its own.
+    pub fn settle(&mut self) {
+        self.fate = Fate::Settled;
+    }
+
+    /// Records that the connection failed, or was given up, for `reason` after the engine had sent
+    /// `events` events of its answer.
+    pub fn record_failure(&mut self, reason: &'static str, events: u32) {
+        self.permit.set_outcome(Outcome::Failure, reason);
+        if self.fate != Fate::Open {
+            return;
+        }
+        let has_ended = matches!(
+            reason,
+            "broken" | "ended" | "empty" | "ended_inside_an_event"
+        );
+        if events > MAX_EVENTS_BEFORE_CRASH {
+            self.fate = Fate::Settled;
+        } else if has_ended {
+            self.fate = Fate::Settled;
+            let engine = &self.permit.reservation.id;
+            self.state().record_crash(&self.subject, engine, reason);
+        } else {
+            self.fate = Fate::Failed;
+        }
+    }
+
+    /// Records that the engine has sent its whole answer.
+    pub fn record_answer(&mut self) {
+        if self.channel.is_clean() {
+            self.record_completion();
+        } else if self.fate == Fate::Open {
+            self.fate = Fate::Settled;
+            let (parts, reservation) = (&self.subject.parts, &self.permit.reservation);
+            self.state().record_unproven_completion(parts, reservation);
+        }
+    }
+
+    /// Records that the engine answered completely, or beyond the events after which it may crash.
+    pub fn record_completion(&mut self) {
+        if self.fate == Fate::Open {
+            self.fate = Fate::Settled;
+            self.state().record_completion(&self.subject.parts);
+        }
+    }
+
+    /// Reads the rest of the answer to a plain request.
+    async fn read_rest(&mut self) -> Result<(), Error> {
+        if self.status.is_none() {
+            let (head, metadata) = read_head(&mut self.channel, &self.subject.request_id).await?;
+            let is_answer = head.status.is_success() && metadata.sealed;
+            if metadata.not_executed || !is_answer {
+                self.settle();
+            }
+            self.status = Some(head.status);
+        }
+        self.channel.receive_body(MAX_LINGERING_BYTES).await?;
+        if self.status.is_some_and(|status| status.is_success()) {
+            self.record_answer();
+        }
+        self.settle();
+        Ok(())
+    }
+
+    /// Waits a short time for what becomes of the attempt.
+    async fn linger(mut self) {
+        match time::timeout(LINGER_TIME, self.read_rest()).await {
+            Ok(Ok(())) => {
+                let engine = self.permit.reservation.id.clone();
+                let state = Arc::clone(self.state());
+                lock(&state.pool).put(&engine, self.channel);
+                return;
+            }
+            Ok(Err(cause)) => self.record_failure(cause.kind(), 0),
+            Err(_) => {}
+        }
+        self.abandon();
+    }
+
+    /// Leaves it to a later check whether the engine has crashed.
+    fn abandon(&self) {
+        if self.fate == Fate::Settled {
+            return;
+        }
+        let reservation = &self.permit.reservation;
+        let check = Check {
+            engine: reservation.id.clone(),
+            address: reservation.address,
+        };
+        self.state().record_abandoned(&self.subject.parts, &check);
+    }
+}
+
+/// An attempt in progress. Dropped before the engine's fate is known, it still finds that out.
+pub struct Attempt(Option<Line>);
+
+impl Attempt {
+    /// Begins an attempt on a connection on which the request is queued.
+    pub fn new(permit: Permit, channel: Channel, subject: Subject) -> Self {
+        Self(Some(Line {
+            permit,
+            channel,
+            status: None,
+            subject,
+            fate: Fate::Open,
+        }))
+    }
+
+    /// Ends an attempt whose answer was read completely and returns its connection to the pool, if
+    /// it can be used again.
+    pub fn close(mut self) {
+        if let Some(mut line) = self.0.take() {
+            line.settle();
+            let state = Arc::clone(line.state());
+            lock(&state.pool).put(&line.permit.reservation.id, line.channel);
+        }
+    }
+}
+
+impl Deref for Attempt {
+    type Target = Line;
+
+    fn deref(&self) -> &Line {
+        self.0.as_ref().expect("attempt is in progress")
+    }
+}
+
+impl DerefMut for Attempt {
+    fn deref_mut(&mut self) -> &mut Line {
+        self.0.as_mut().expect("attempt is in progress")
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        let Some(line) = self.0.take() else {
+            return;
+        };
+        if !line.channel.has_sent() {
+            return;
+        }
+        // A stream is closed at once: the engine would go on reading its prompt.
+        let can_linger =
+            line.fate == Fate::Open && !line.subject.is_stream && line.channel.is_request_sent();
+        match Handle::try_current() {
+            Ok(runtime) if can_linger => {
+                runtime.spawn(line.linger());
+            }
+            _ => line.abandon(),
+        }
+    }
+}
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         front::{
+            attempt::Subject,
             problem::Problem,
             state::State,
             trace::Trace,
@@ -81,7 +82,7 @@
     pub tried: Vec<Engine>,
     /// Hashes of the shared parts of the prompt, as in `request.shared_parts`, and at the end that
     /// of the content of the request.
-    pub prompt_parts: Vec<Part>,
+    pub prompt_parts: Arc<[Part]>,
     /// Whether this request tests a quarantined part.
     pub is_probe: bool,
     /// Whether this is a caller's retry of an earlier, refused request.
@@ -291,7 +292,11 @@
             permit,
             &head,
             &self.body,
-            &self.request.id,
+            Subject {
+                request_id: self.request.id.clone(),
+                parts: Arc::clone(&self.prompt_parts),
+                is_stream: self.route.kind.is_stream(),
+            },
             self.route.kind,
             timeout,
         );
@@ -337,10 +342,7 @@
                 Event::NotRun,
                 Problem::unavailable("engine_full", RETRY_AFTER),
             ),
-            Failure::Lost(reason) => {
-                self.record_break(reason, 0, engine);
-                (Event::Lost, Problem::bad_gateway("answer_lost"))
-            }
+            Failure::Lost(_) => (Event::Lost, Problem::bad_gateway("answer_lost")),
             Failure::Timeout => (Event::Lost, Problem::bad_gateway("silent")),
         };
         self.call.handle(event);
--- a/crates/entry/src/front/metrics.rs
+++ b/crates/entry/src/front/metrics.rs
@@ -26,7 +26,7 @@
     pub resumed: Counter,
     /// Callers that disconnected before their response was complete.
     pub disconnected: Counter,
-    /// Attempts that ended without a result: the caller left, or the deadline was reached.
+    /// Attempts of which it was unknown at their end whether the engine would crash on them.
     pub abandoned_attempts: Counter,
     /// Time to the complete response or, for streams, to the first event, in seconds.
     pub first_byte: Histogram,
@@ -110,7 +110,7 @@
         r.register("left", "Callers that left early", self.disconnected.clone());
         r.register(
             "abandoned_sends",
-            "Sends that ended without a result",
+            "Sends that ended before it was known whether the engine crashed",
             self.abandoned_attempts.clone(),
         );
         r.register(
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -1,10 +1,11 @@
 //! Entry host on the users' platform: an HTTP proxy that sends callers' requests to engines.
 //!
 //! `listener` accepts connections, `relay` handles requests, and `exchange` sends them to engines
-//! through `upstream`. `watch` follows the platform's store, and `records` applies what it says;
+//! through `upstream`; `attempt` finds out whether an engine crashed on one. `watch` follows the platform's store, and `records` applies what it says;
 //! `gossip` and `peers` communicate with the other processes. `quarantine` keeps requests from
 //! engines that their prompts would crash.
 
+mod attempt;
 mod body;
 mod exchange;
 mod gossip;
--- a/crates/entry/src/front/pool.rs
+++ b/crates/entry/src/front/pool.rs
@@ -31,6 +31,15 @@
         None
     }
 
+    /// Whether an idle connection to the engine is open.
+    pub fn is_connected(&self, engine: &str) -> bool {
+        let idle = self.idle.get(engine);
+        idle.is_some_and(|idle| {
+            idle.iter()
+                .any(|channel| channel.is_reusable(Duration::MAX))
+        })
+    }
+
     /// Returns a connection to the pool; closes it if its last response was not read completely or
     /// if the engine has enough idle connections.
     pub fn put(&mut self, engine: &Engine, channel: Channel) {
--- a/crates/entry/src/front/process.rs
+++ b/crates/entry/src/front/process.rs
@@ -1,7 +1,10 @@
 //! Startup and graceful shutdown of an entry host on the platform.
 
 use {
-    crate::front::{gossip, listener::Listener, peers, quarantine, state::State, watch},
+    crate::{
+        front::{gossip, listener::Listener, peers, quarantine, state::State, watch},
+        shared::lock,
+    },
     jayspread_net::{
         admin::{self, Admin},
         clock,
@@ -149,7 +152,8 @@
         self.state.stopping.send_replace(true);
         gossip::tell_region(&self.state);
         self.state.heartbeat_due.notify_one();
-        while clock::now() < deadline && (clock::now() < balancer_deadline || in_flight() > 0) {
+        let is_busy = || in_flight() > 0 || lock(&self.state.quarantine).has_unchecked();
+        while clock::now() < deadline && (clock::now() < balancer_deadline || is_busy()) {
             time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         let cut_off = in_flight();
@@ -159,6 +163,7 @@
             cut_off = cut_off,
             after_ms = clock::now().saturating_duration_since(started).as_millis()
         );
+        quarantine::flush(&self.state);
         self.callers.close();
         self.balancer.close();
         self.peers.close();
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -2,15 +2,15 @@
 
 use {
     crate::{
-        front::{exchange::Exchange, state::State, upstream::Response},
+        front::{attempt::Subject, exchange::Exchange, state::State, upstream::CONNECT_TIMEOUT},
         shared::lock,
     },
     jayspread_core::{
         id,
         placement::{Refusal, Reservation},
-        quarantine::{Change, Ledger, Part, Statement, Verdict},
+        quarantine::{Change, Check, Finding, Ledger, Part, Statement, Verdict},
     },
-    jayspread_net::{clock, event, members},
+    jayspread_net::{channel::Channel, clock, event, members},
     jayspread_schema::peer::{Part as PartMessage, Parts, Role, packet::Body},
     rand::seq::IteratorRandom,
     std::{
@@ -30,32 +30,76 @@
 /// Largest number of events that an engine sends before it crashes on a part of the prompt: it does so
 /// when it begins to answer. A stream with more shows that its parts are sound.
 pub const MAX_EVENTS_BEFORE_CRASH: u32 = 8;
+/// Shortest interval between two rounds of checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time within which an agent reports that its engine has ended.
 const CRASH_NOTICE_TIME: Duration = Duration::from_millis(1_000);
 /// Time after the start of this process in which it takes over the quarantines of others at once.
 const ADOPTION_TIME: Duration = Duration::from_secs(5);
 
-/// Passes on news of crashes until the task is aborted.
+/// Passes on news of crashes, and checks engines whose attempts were abandoned, until the task is
+/// aborted.
 pub async fn run(state: Arc<State>) {
     loop {
         let now = clock::now();
-        let (news, is_idle) = {
+        let (news, checks, next_check, is_idle) = {
             let mut ledger = lock(&state.quarantine);
             let news = ledger.news(MAX_STATEMENTS, now);
+            let checks = ledger.due_checks(now);
             report_changes(&state, &mut ledger, now);
-            (news, !ledger.has_news() && !ledger.has_unconfirmed(now))
+            let is_idle = !ledger.has_news() && !ledger.has_unconfirmed(now);
+            (news, checks, ledger.next_check(), is_idle)
         };
         if !news.is_empty() {
             send(&state, &news, false, &random_hosts(&state));
         }
-        if is_idle {
-            state.quarantine_due.notified().await;
-        } else {
-            time::sleep(ROUND_INTERVAL).await;
+        for check in checks {
+            tokio::spawn(check_engine(Arc::clone(&state), check));
+        }
+        let wake_at = match next_check {
+            _ if !is_idle => Some(now + ROUND_INTERVAL),
+            // Checks that are due at about the same time are done together.
+            Some(at) => Some(at.max(now + CHECK_INTERVAL)),
+            None => None,
+        };
+        match wake_at {
+            Some(at) if !is_idle => time::sleep_until(at.into()).await,
+            Some(at) => tokio::select! {
+                () = state.quarantine_due.notified() => {}
+                () = time::sleep_until(at.into()) => {}
+            },
+            None => state.quarantine_due.notified().await,
         }
     }
 }
 
+/// Checks whether an engine instance has ended: a process that runs accepts connections.
+async fn check_engine(state: Arc<State>, check: Check) {
+    let checked_at = clock::now();
+    let is_connected = lock(&state.pool).is_connected(&check.engine);
+    let finding = if is_connected {
+        Finding::Alive
+    } else {
+        match Channel::open(check.address, CONNECT_TIMEOUT).await {
+            Ok(channel) => {
+                lock(&state.pool).put(&check.engine, channel);
+                Finding::Alive
+            }
+            Err(cause) if cause.is_refused() => Finding::Ended,
+            Err(_) => Finding::Unknown,
+        }
+    };
+    state.record_finding(&check.engine, finding, checked_at);
+}
+
+/// Passes on what is left of the news before the process ends.
+pub fn flush(state: &State) {
+    let news = lock(&state.quarantine).news(MAX_STATEMENTS, clock::now());
+    if !news.is_empty() {
+        send(state, &news, false, &random_hosts(state));
+    }
+}
+
 fn random_hosts(state: &State) -> Vec<Ipv4Addr> {
     let roster = lock(&state.roster);
     let hosts = roster.usable_members(Role::Entry);
@@ -143,11 +187,81 @@
         let mut ledger = lock(&self.quarantine);
         update(&mut ledger);
         report_changes(self, &mut ledger, now);
-        if ledger.has_news() || ledger.has_unconfirmed(now) {
+        if ledger.has_news() || ledger.has_unconfirmed(now) || ledger.has_unchecked() {
             self.quarantine_due.notify_one();
         }
     }
 
+    /// Records that an engine ended on an attempt, as its connection shows by `reason`.
+    pub fn record_crash(&self, subject: &Subject, engine: &str, reason: &str) {
+        let now = clock::now();
+        let mut crash_count = 0;
+        self.update_quarantine(now, |ledger| {
+            ledger.record_crash(&subject.parts, engine, now);
+            let content = subject.parts.last();
+            crash_count = content.map_or(0, |content| ledger.crash_count(*content));
+        });
+        event!(
+            Info,
+            "engine_crashed",
+            request = subject.request_id,
+            engine = engine,
+            reason = reason,
+            crashes = crash_count
+        );
+    }
+
+    /// Records that an engine answered a request with these parts.
+    pub fn record_completion(&self, parts: &[Part]) {
+        let now = clock::now();
+        self.update_quarantine(now, |ledger| ledger.record_completion(parts, now));
+    }
+
+    /// Records later that an engine answered completely, unless it has ended by then: the answer
+    /// ended only with its connection, as it does in a crash.
+    pub fn record_unproven_completion(
+        self: &Arc<Self>,
+        parts: &Arc<[Part]>,
+        reservation: &Reservation,
+    ) {
+        let (state, parts) = (Arc::clone(self), Arc::clone(parts));
+        let reservation = reservation.clone();
+        tokio::spawn(async move {
+            time::sleep(CRASH_NOTICE_TIME).await;
+            let now = clock::now();
+            let is_alive =
+                lock(&state.engines).reported_responsive(&reservation, CRASH_NOTICE_TIME / 2, now);
+            if is_alive {
+                state.record_completion(&parts);
+            }
+        });
+    }
+
+    /// Records that an attempt ended before it was known whether the engine would crash on it.
+    pub fn record_abandoned(&self, parts: &[Part], check: &Check) {
+        self.metrics.abandoned_attempts.inc();
+        let now = clock::now();
+        self.update_quarantine(now, |ledger| ledger.record_abandoned(parts, check, now));
+    }
+
+    /// Records what is known of an engine since `checked_at`.
+    pub fn record_finding(&self, engine: &str, finding: Finding, checked_at: Instant) {
+        let now = clock::now();
+        let mut crash_count = 0;
+        self.update_quarantine(now, |ledger| {
+            crash_count = ledger.record_finding(engine, finding, checked_at, now);
+        });
+        if crash_count > 0 {
+            event!(
+                Info,
+                "engine_crashed",
+                engine = engine,
+                reason = "refused",
+                abandoned = crash_count
+            );
+        }
+    }
+
     /// Number of live entry hosts that precede this one in testing a quarantined part.
     fn prober_rank(&self, part: Part) -> u32 {
         let score = |host: &str| id::score(&part.to_le_bytes(), host);
@@ -163,7 +277,7 @@
     /// Refuses the request if a part of its prompt is quarantined. One that is let through as a test
     /// is not sent again if it fails.
     pub fn check_quarantine(&mut self) -> Result<(), Refusal> {
-        if self.prompt_parts.is_empty() || self.is_probe {
+        if self.is_probe {
             return Ok(());
         }
         let state = &self.state;
@@ -191,70 +305,4 @@
             }
         }
     }
-
-    /// Records that the connection to an engine failed for `reason` after it had sent `events` events
-    /// of its answer.
-    pub fn record_break(&self, reason: &str, events: u32, engine: &str) {
-        let has_ended = matches!(
-            reason,
-            "broken" | "ended" | "empty" | "ended_inside_an_event"
-        );
-        if !has_ended || events > MAX_EVENTS_BEFORE_CRASH || self.prompt_parts.is_empty() {
-            return;
-        }
-        let now = clock::now();
-        let mut crash_count = 0;
-        self.state.update_quarantine(now, |ledger| {
-            ledger.record_crash(&self.prompt_parts, engine, now);
-            let content = self.prompt_parts.last();
-            crash_count = content.map_or(0, |content| ledger.crash_count(*content));
-        });
-        event!(
-            Info,
-            "engine_crashed",
-            request = self.request.id,
-            engine = engine,
-            reason = reason,
-            crashes = crash_count
-        );
-    }
-
-    /// Records that an engine has sent its whole answer.
-    pub fn record_answer(&self, response: &Response) {
-        if response.channel.is_clean() {
-            self.record_completion();
-        } else {
-            self.record_unproven_completion(&response.permit.reservation);
-        }
-    }
-
-    /// Records later that an engine answered completely, unless it has ended by then: the answer
-    /// ended only with its connection, as it does in a crash.
-    fn record_unproven_completion(&self, reservation: &Reservation) {
-        if self.prompt_parts.is_empty() {
-            return;
-        }
-        let (state, parts) = (Arc::clone(&self.state), self.prompt_parts.clone());
-        let reservation = reservation.clone();
-        tokio::spawn(async move {
-            time::sleep(CRASH_NOTICE_TIME).await;
-            let now = clock::now();
-            let is_alive =
-                lock(&state.engines).reported_responsive(&reservation, CRASH_NOTICE_TIME / 2, now);
-            if is_alive {
-                state.update_quarantine(now, |ledger| ledger.record_completion(&parts, now));
-            }
-        });
-    }
-
-    /// Records that an engine answered completely, or beyond the events after which it may crash.
-    pub fn record_completion(&self) {
-        if self.prompt_parts.is_empty() {
-            return;
-        }
-        let now = clock::now();
-        self.state.update_quarantine(now, |ledger| {
-            ledger.record_completion(&self.prompt_parts, now);
-        });
-    }
 }
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -141,7 +141,7 @@
         deadline,
         call,
         tried: Vec::new(),
-        prompt_parts,
+        prompt_parts: prompt_parts.into(),
         is_probe: false,
         is_caller_retry,
         trace: Some(trace),
@@ -250,34 +250,37 @@
             let deadline = self.timeout().deadline;
             let received = time::timeout_at(
                 deadline.into(),
-                upstream.channel.receive_body(MAX_RESPONSE_BYTES),
+                upstream.attempt.channel.receive_body(MAX_RESPONSE_BYTES),
             )
             .await;
             let body = match received {
                 Ok(Ok(body)) => body,
                 Ok(Err(cause)) => {
-                    upstream.permit.set_outcome(Outcome::Failure, cause.kind());
+                    let attempt = &mut upstream.attempt;
+                    attempt.record_failure(cause.kind(), 0);
                     let failure = Failure::Lost(cause.kind());
-                    let problem =
-                        self.record_failure(failure, &upstream.permit.reservation.id.clone());
+                    let problem = self.record_failure(failure, &attempt.permit.reservation.id);
                     self.authorize_retry(problem)?;
                     continue;
                 }
                 Err(_) => {
-                    upstream.permit.set_outcome(Outcome::Failure, "silent");
-                    let problem = self
-                        .record_failure(Failure::Timeout, &upstream.permit.reservation.id.clone());
+                    let permit = &mut upstream.attempt.permit;
+                    permit.set_outcome(Outcome::Failure, "silent");
+                    let problem = self.record_failure(Failure::Timeout, &permit.reservation.id);
                     self.authorize_retry(problem)?;
                     continue;
                 }
             };
-            upstream.permit.set_outcome(Outcome::Success, "answered");
             let status = upstream.head.status;
+            upstream
+                .attempt
+                .permit
+                .set_outcome(Outcome::Success, "answered");
             if status.is_success() {
-                self.record_answer(&upstream);
+                upstream.attempt.record_answer();
             }
             let response = build_response(status, upstream.head.headers.clone(), full(body));
-            upstream.release();
+            upstream.attempt.close();
             metrics::count(&self.state.metrics.attempts, "answered");
             if status.is_server_error() && fallback.is_none() && self.take_error_retry() {
                 fallback = Some((response, status.as_u16()));
@@ -302,7 +305,7 @@
                 Ok(upstream) => upstream,
                 Err(problem) => return fallback.map(Started::Error).ok_or(problem),
             };
-            let engine = upstream.permit.reservation.id.clone();
+            let engine = upstream.attempt.permit.reservation.id.clone();
             if !upstream.head.status.is_success() {
                 let error = self.error_response(upstream).await?;
                 if fallback.is_some() || !self.take_error_retry() {
@@ -326,23 +329,20 @@
         &mut self,
         mut upstream: upstream::Response,
     ) -> Result<Response<Body>, Problem> {
-        let reading = upstream.channel.receive_body(MAX_RESPONSE_BYTES);
+        let attempt = &mut upstream.attempt;
+        let reading = attempt.channel.receive_body(MAX_RESPONSE_BYTES);
         let Ok(Ok(body)) = time::timeout_at(self.deadline.into(), reading).await else {
-            upstream
-                .permit
-                .set_outcome(Outcome::Failure, "failure_cut_off");
-            return Err(self.record_failure(
-                Failure::Lost("failure_cut_off"),
-                &upstream.permit.reservation.id,
-            ));
+            attempt.record_failure("failure_cut_off", 0);
+            let engine = &attempt.permit.reservation.id;
+            return Err(self.record_failure(Failure::Lost("failure_cut_off"), engine));
         };
-        upstream.permit.set_outcome(Outcome::Success, "answered");
+        attempt.permit.set_outcome(Outcome::Success, "answered");
         let response = build_response(
             upstream.head.status,
             upstream.head.headers.clone(),
             full(body),
         );
-        upstream.release();
+        upstream.attempt.close();
         Ok(response)
     }
 
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -68,7 +68,9 @@
     }
 
     fn fail(&mut self, reason: &'static str) -> Failure {
-        self.response.permit.set_outcome(Outcome::Failure, reason);
+        self.response
+            .attempt
+            .record_failure(reason, self.event_count);
         Failure::Lost(reason)
     }
 
@@ -78,11 +80,11 @@
     }
 
     /// Removes and returns the next complete event that was received.
-    fn take_event(&mut self, exchange: &Exchange) -> Option<Event> {
+    fn take_event(&mut self) -> Option<Event> {
         let event = self.splitter.next_event()?;
         self.event_count += 1;
         if self.event_count == MAX_EVENTS_BEFORE_CRASH + 1 {
-            exchange.record_completion();
+            self.response.attempt.record_completion();
         }
         Some(event)
     }
@@ -90,14 +92,14 @@
     /// Whether the end of the stream may be that of a connection to an engine that crashed before its
     /// first event.
     fn may_be_cut_off(&self) -> bool {
-        self.event_count == 0 && !self.response.channel.is_clean()
+        self.event_count == 0 && !self.response.attempt.channel.is_clean()
     }
 
     /// Waits for the next event; `target` is the intended maximum wait.
     async fn next_event(&mut self, exchange: &Exchange, target: Duration) -> Next {
         let since = clock::now();
         loop {
-            if let Some(event) = self.take_event(exchange) {
+            if let Some(event) = self.take_event() {
                 return Next::Event(event);
             }
             // Checked before each read: an engine that sends a byte now and then has stalled too.
@@ -105,11 +107,13 @@
             if now >= exchange.deadline {
                 return Next::Deadline;
             }
-            if exchange.can_fail_over() && self.response.permit.is_stalled(since, target) {
+            if exchange.can_fail_over() && self.response.attempt.permit.is_stalled(since, target) {
                 return Next::Broken("stalled");
             }
             let wake_at = (now + CHECK_INTERVAL).min(exchange.deadline);
-            match time::timeout_at(wake_at.into(), self.response.channel.receive_data()).await {
+            match time::timeout_at(wake_at.into(), self.response.attempt.channel.receive_data())
+                .await
+            {
                 Ok(Ok(Some(chunk))) => {
                     if self.splitter.push(&chunk).is_err() {
                         return Next::Broken("event_too_long");
@@ -163,15 +167,11 @@
         event.bytes
     }
 
-    fn finish(&mut self, mut stream: Stream) {
-        stream
-            .response
-            .permit
-            .set_outcome(Outcome::Success, "answered");
-        if stream.event_count <= MAX_EVENTS_BEFORE_CRASH {
-            self.exchange.record_answer(&stream.response);
-        }
-        stream.response.release();
+    fn finish(&mut self, stream: Stream) {
+        let mut attempt = stream.response.attempt;
+        attempt.permit.set_outcome(Outcome::Success, "answered");
+        attempt.record_answer();
+        attempt.close();
         self.exchange
             .state
             .metrics
@@ -192,10 +192,7 @@
 
     /// Resumes the stream at another engine.
     async fn resume(&mut self, mut broken: Stream, reason: &'static str) -> Result<(), Aborted> {
-        broken.response.permit.set_outcome(Outcome::Failure, reason);
-        let engine = broken.response.permit.reservation.id.clone();
-        self.exchange
-            .record_break(reason, broken.event_count, &engine);
+        broken.fail(reason);
         drop(broken);
         let Some(response) = self.exchange.resume(reason).await else {
             return Err(Aborted);
@@ -224,7 +221,7 @@
                 }
                 Next::Event(event) => {
                     let mut bytes = BytesMut::from(&self.relay_event(event)[..]);
-                    while let Some(event) = stream.take_event(&self.exchange) {
+                    while let Some(event) = stream.take_event() {
                         if !self.exchange.is_duplicate(&event) {
                             bytes.extend_from_slice(&self.relay_event(event));
                         }
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -1,8 +1,16 @@
-//! One attempt at one engine, up to the response head.
+//! The way of a request to one engine, up to the response head.
 
 use {
-    crate::{front::state::State, shared::lock},
-    jayspread_core::{catalog::Kind, outlier::Outcome, placement::Reservation},
+    crate::{
+        front::{
+            attempt::{Attempt, Subject},
+            state::State,
+        },
+        shared::lock,
+    },
+    jayspread_core::{
+        catalog::Kind, outlier::Outcome, placement::Reservation, quarantine::Finding,
+    },
     jayspread_net::{
         channel::{Channel, Error, Head},
         clock, event,
@@ -17,7 +25,7 @@
 };
 
 /// Timeout for connecting to an engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum idle time of a connection that is reused for a non-idempotent request. The longer it was
 /// idle, the likelier the engine is closing it, and then it is unknown whether the request ran.
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(100);
@@ -94,6 +102,11 @@
         }
     }
 
+    /// Shared state of the process.
+    pub fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
     /// Sets the result that is recorded for the engine when the permit is dropped.
     pub fn set_outcome(&mut self, outcome: Outcome, reason: &'static str) {
         self.outcome = Some((outcome, reason));
@@ -156,9 +169,6 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        if self.outcome.is_none() {
-            self.state.metrics.abandoned_attempts.inc();
-        }
         let outcome = self.outcome.map(|(outcome, _)| outcome);
         let ejected = lock(&self.state.engines).release(&self.reservation, outcome, clock::now());
         if let (true, Some((_, reason))) = (ejected, self.outcome) {
@@ -179,10 +189,8 @@
 
 /// A response whose head has been received.
 pub struct Response {
-    /// Permit at the engine that sent the response.
-    pub permit: Permit,
-    /// Connection, positioned at the start of the body.
-    pub channel: Channel,
+    /// The attempt, with its connection at the start of the body.
+    pub attempt: Attempt,
     /// Head of the response.
     pub head: Head,
 }
@@ -193,7 +201,7 @@
         mut permit: Permit,
         head: &[u8],
         body: &[u8],
-        request_id: &str,
+        subject: Subject,
         kind: Kind,
         timeout: Timeout,
     ) -> Result<Self, Failure> {
@@ -201,15 +209,25 @@
             Ok(channel) => channel,
             Err(cause) => {
                 permit.set_outcome(Outcome::Failure, cause.kind());
+                if cause.is_refused() {
+                    let engine = &permit.reservation.id;
+                    permit
+                        .state
+                        .record_finding(engine, Finding::Ended, permit.sent_at);
+                }
                 return Err(Failure::Unsent(cause.kind()));
             }
         };
         channel.queue_request(head, body);
-        let received = wait(&permit, read_head(&mut channel, request_id), timeout).await;
+        let request_id = subject.request_id.clone();
+        let mut attempt = Attempt::new(permit, channel, subject);
+        let line = &mut *attempt;
+        let reading = read_head(&mut line.channel, &request_id);
+        let received = wait(&line.permit, reading, timeout).await;
         let (head, metadata) = match received {
             Some(Ok(received)) => received,
             Some(Err(cause)) => {
-                permit.set_outcome(Outcome::Failure, cause.kind());
+                line.record_failure(cause.kind(), 0);
                 return Err(if cause.is_unsent() {
                     Failure::Unsent(cause.kind())
                 } else {
@@ -217,16 +235,13 @@
                 });
             }
             None => {
-                permit.set_outcome(Outcome::Failure, "silent");
+                line.permit.set_outcome(Outcome::Failure, "silent");
                 return Err(Failure::Timeout);
             }
         };
-        permit.observe(&metadata);
-        let response = Self {
-            permit,
-            channel,
-            head,
-        };
+        line.status = Some(head.status);
+        line.permit.observe(&metadata);
+        let response = Self { attempt, head };
         response.validate(&metadata).await
     }
 
@@ -234,15 +249,16 @@
     async fn validate(mut self, metadata: &wire::Response) -> Result<Self, Failure> {
         let status = self.head.status.as_u16();
         if metadata.not_executed {
+            self.attempt.settle();
             let outcome = if status == 421 {
                 Outcome::Failure
             } else {
                 Outcome::Rejected
             };
-            self.permit.set_outcome(outcome, "not_run");
-            let body = self.channel.receive_body(MAX_DISCARDED_BYTES);
+            self.attempt.permit.set_outcome(outcome, "not_run");
+            let body = self.attempt.channel.receive_body(MAX_DISCARDED_BYTES);
             if matches!(time::timeout(REFUSAL_BODY_TIMEOUT, body).await, Ok(Ok(_))) {
-                self.release();
+                self.attempt.close();
             }
             return Err(Failure::NotExecuted(status));
         }
@@ -250,18 +266,11 @@
         // it.
         let implies_refusal = matches!(status, 408 | 421 | 429 | 503);
         if implies_refusal || self.head.status.is_success() && !metadata.sealed {
-            self.permit.set_outcome(Outcome::Failure, "unsealed");
+            self.attempt.record_failure("unsealed", 0);
             return Err(Failure::Lost("unsealed"));
         }
         Ok(self)
     }
-
-    /// Releases the permit and, if the response was read completely, returns the connection to the
-    /// pool.
-    pub fn release(self) {
-        let state = Arc::clone(&self.permit.state);
-        lock(&state.pool).put(&self.permit.reservation.id, self.channel);
-    }
 }
 
 /// Waits for `response`; returns `None` if the timeout expires or the engine stalls first.
@@ -300,7 +309,7 @@
 
 /// Reads response heads until the one for this request arrives. Responses to earlier requests on
 /// the connection are discarded.
-async fn read_head(
+pub async fn read_head(
     channel: &mut Channel,
     request_id: &str,
 ) -> Result<(Head, wire::Response), Error> {
--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -62,6 +62,11 @@
         matches!(self, Error::Connect(_) | Error::Unsent(_))
     }
 
+    /// Whether the server's host refused the connection: no process listens there.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Error::Connect(cause) if cause.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Short name for logs and counters.
     pub fn kind(&self) -> &'static str {
         match self {
@@ -265,6 +270,16 @@
             && !self.must_close
     }
 
+    /// Whether any byte of the request was sent.
+    pub fn has_sent(&self) -> bool {
+        self.any_sent
+    }
+
+    /// Whether the whole request was sent.
+    pub fn is_request_sent(&self) -> bool {
+        self.any_sent && self.outgoing.is_empty()
+    }
+
     /// Whether the connection can take another request: it is clean, open, and has been idle for less
     /// than `max_idle` and its own idle timeout.
     pub fn is_reusable(&self, max_idle: Duration) -> bool {
