A request that has not begun is withdrawn before the limit of the engine's version

Cause: the time left to the engine's version is checked when the request is sent; one that waits in the engine's queue longer than predicted, or in the connection to a host that is paused, was left there.

The attempt knows the time by which its engine must begin. If the answer has not begun 0.15 s before, the connection is closed and the request goes to another engine if it may run again.

--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -48,6 +48,9 @@
 /// Retry delay suggested to a caller that retries while the service is saturated; its request gives
 /// way to the first tries of other callers.
 const SATURATED_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+/// Time before the end of the time in which work on an old version may begin at which a request that
+/// has not begun is withdrawn; the engine must notice that in time.
+const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(150);
 /// Interval between checks for a free engine.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Share of the latency target within which the response to a caller's retry must be expected. It
@@ -78,6 +81,8 @@
     pub deadline: Instant,
     /// Execution state, from which the next action after a failure follows.
     pub call: Call,
+    /// Time by which the engine of the current attempt must begin, if its version is an old one.
+    pub begin_by: Option<Instant>,
     /// Engines already tried.
     pub tried: Vec<Engine>,
     /// Hashes of the shared parts of the prompt, as in `request.shared_parts`, and at the end that
@@ -287,6 +292,9 @@
         };
         let head = wire::encode_request(&self.parts, self.body.len(), &forward);
         self.call.handle(Event::Send);
+        self.begin_by = choice
+            .version_left
+            .map(|left| clock::now() + left.saturating_sub(WITHDRAWAL_MARGIN));
         let timeout = self.timeout();
         let response = Response::request(
             permit,
@@ -321,11 +329,13 @@
                     self.deadline
                 },
                 stall_target: None,
+                begin_by: self.begin_by,
             };
         }
         Timeout {
             deadline: self.deadline,
             stall_target: can_fail_over.then_some(latency_target),
+            begin_by: self.begin_by,
         }
     }
 
@@ -344,6 +354,7 @@
             ),
             Failure::Lost(_) => (Event::Lost, Problem::bad_gateway("answer_lost")),
             Failure::Timeout => (Event::Lost, Problem::bad_gateway("silent")),
+            Failure::Withdrawn => (Event::Lost, Problem::bad_gateway("old_version")),
         };
         self.call.handle(event);
         problem
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -140,6 +140,7 @@
         arrived,
         deadline,
         call,
+        begin_by: None,
         tried: Vec::new(),
         prompt_parts: prompt_parts.into(),
         is_probe: false,
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -39,6 +39,8 @@
     Event(Event),
     End,
     Broken(&'static str),
+    /// The stream has not begun, and must not begin any more on the engine's version.
+    Withdrawn,
     Deadline,
 }
 
@@ -62,6 +64,7 @@
                 Next::End if exchange.request.last_event_id.is_some() => return Ok(stream),
                 Next::End => return Err(stream.fail("empty")),
                 Next::Broken(reason) => return Err(stream.fail(reason)),
+                Next::Withdrawn => return Err(Failure::Withdrawn),
                 Next::Deadline => return Err(Failure::Timeout),
             }
         }
@@ -110,7 +113,12 @@
             if exchange.can_fail_over() && self.response.attempt.permit.is_stalled(since, target) {
                 return Next::Broken("stalled");
             }
+            let begin_by = exchange.begin_by.filter(|_| self.event_count == 0);
+            if begin_by.is_some_and(|at| now >= at) {
+                return Next::Withdrawn;
+            }
             let wake_at = (now + CHECK_INTERVAL).min(exchange.deadline);
+            let wake_at = begin_by.map_or(wake_at, |at| at.min(wake_at));
             match time::timeout_at(wake_at.into(), self.response.attempt.channel.receive_data())
                 .await
             {
@@ -191,8 +199,7 @@
     }
 
     /// Resumes the stream at another engine.
-    async fn resume(&mut self, mut broken: Stream, reason: &'static str) -> Result<(), Aborted> {
-        broken.fail(reason);
+    async fn resume(&mut self, broken: Stream, reason: &'static str) -> Result<(), Aborted> {
         drop(broken);
         let Some(response) = self.exchange.resume(reason).await else {
             return Err(Aborted);
@@ -235,7 +242,13 @@
                     return (!comments.is_empty()).then_some(Ok(comments));
                 }
                 Next::Deadline => return self.abort("deadline"),
+                Next::Withdrawn => {
+                    if self.resume(stream, "old_version").await.is_err() {
+                        return self.abort("old_version");
+                    }
+                }
                 Next::Broken(reason) => {
+                    stream.fail(reason);
                     if self.resume(stream, reason).await.is_err() {
                         return self.abort(reason);
                     }
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -56,6 +56,8 @@
     Lost(&'static str),
     /// No response arrived in time.
     Timeout,
+    /// The request was withdrawn because it must not begin on the engine's version any more.
+    Withdrawn,
 }
 
 impl Failure {
@@ -66,6 +68,7 @@
             Failure::NotExecuted(_) => "not_run",
             Failure::Lost(_) => "lost",
             Failure::Timeout => "late",
+            Failure::Withdrawn => "withdrawn",
         }
     }
 }
@@ -77,6 +80,7 @@
             Failure::NotExecuted(status) => write!(f, "not_run:{status}"),
             Failure::Lost(reason) => write!(f, "lost:{reason}"),
             Failure::Timeout => write!(f, "late"),
+            Failure::Withdrawn => write!(f, "withdrawn"),
         }
     }
 }
@@ -185,6 +189,15 @@
     /// The route's latency target, if the wait should also end when the engine stalls because
     /// another one may get the request.
     pub stall_target: Option<Duration>,
+    /// Time by which the engine must have begun, if its version is an old one.
+    pub begin_by: Option<Instant>,
+}
+
+impl Timeout {
+    /// Whether the request must not begin any more.
+    pub fn has_to_withdraw(&self, now: Instant) -> bool {
+        self.begin_by.is_some_and(|at| now >= at)
+    }
 }
 
 /// A response whose head has been received.
@@ -234,6 +247,7 @@
                     Failure::Lost(cause.kind())
                 });
             }
+            None if timeout.has_to_withdraw(clock::now()) => return Err(Failure::Withdrawn),
             None => {
                 line.permit.set_outcome(Outcome::Failure, "silent");
                 return Err(Failure::Timeout);
@@ -273,7 +287,8 @@
     }
 }
 
-/// Waits for `response`; returns `None` if the timeout expires or the engine stalls first.
+/// Waits for `response`; returns `None` if the timeout expires, the engine stalls, or the request must
+/// not begin any more.
 async fn wait<T>(
     permit: &Permit,
     response: impl Future<Output = T>,
@@ -282,14 +297,18 @@
     let since = clock::now();
     let mut response = std::pin::pin!(response);
     loop {
-        let wake_at = (clock::now() + CHECK_INTERVAL).min(timeout.deadline);
+        let mut wake_at = (clock::now() + CHECK_INTERVAL).min(timeout.deadline);
+        if let Some(begin_by) = timeout.begin_by {
+            wake_at = wake_at.min(begin_by);
+        }
         if let Ok(response) = time::timeout_at(wake_at.into(), response.as_mut()).await {
             return Some(response);
         }
         let stalled = timeout
             .stall_target
             .is_some_and(|target| permit.is_stalled(since, target));
-        if stalled || clock::now() >= timeout.deadline {
+        let now = clock::now();
+        if stalled || now >= timeout.deadline || timeout.has_to_withdraw(now) {
             return None;
         }
     }
