What an engine says about itself is read also from an answer that nobody awaits

The answers that are read on for 0.2 s after their caller left are now read for it as well.

Test leaving_engine_is_not_noticed_in_an_answer_that_nobody_awaits: not known within 20 s before, known at once now.

--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -120,6 +120,7 @@
         if self.status.is_none() {
             let (head, metadata) = read_head(&mut self.channel, &self.subject.request_id).await?;
             let is_answer = head.status.is_success() && metadata.sealed;
+            self.permit.observe(&metadata);
             if metadata.not_executed || !is_answer {
                 self.settle();
             }
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -117,7 +117,7 @@
     }
 
     /// Applies what the engine's response says about the engine itself.
-    fn observe(&self, metadata: &wire::Response) {
+    pub fn observe(&self, metadata: &wire::Response) {
         let (state, reservation) = (&self.state, &self.reservation);
         let now = clock::now();
         if let Some(load) = metadata.load {
