The caller belongs to the content of a request

The hash left the caller out, so that answers to one organisation cleared the crashes of another one's request with the same target and body, and a crashing request of one refused the sound one of another.

Tests content_of_another_caller_is_answered and contents_differ::of_another_caller: before, both contents have the same hash by construction (not run, the function had no such argument).

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -66,13 +66,12 @@
     score(b"prompt part", id) & !REQUEST_BIT
 }
 
-/// Hash of the content of a request: its target, the parts of its prompt as the caller states them,
-/// and its body.
-pub fn request(host: &str, target: &str, prompt: &str, body: &[u8]) -> Part {
-    id::digest(
-        b"request",
-        &[host.as_bytes(), target.as_bytes(), prompt.as_bytes(), body],
-    ) | REQUEST_BIT
+/// Hash of the content of a request: its caller, its target, the parts of its prompt as the caller
+/// states them, and its body.
+pub fn request(caller: &str, host: &str, target: &str, prompt: &str, body: &[u8]) -> Part {
+    let texts = [caller, host, target, prompt].map(str::as_bytes);
+    let [caller, host, target, prompt] = texts;
+    id::digest(b"request", &[caller, host, target, prompt, body]) | REQUEST_BIT
 }
 
 /// Whether a hash is that of a request's content.
--- a/crates/core/tests/quarantine_abandoned.rs
+++ b/crates/core/tests/quarantine_abandoned.rs
@@ -11,7 +11,7 @@
 }
 
 fn content(body: &str) -> Part {
-    request("x.example", "/r/1", "", body.as_bytes())
+    request("org", "x.example", "/r/1", "", body.as_bytes())
 }
 
 fn check(engine: &str) -> Check {
--- a/crates/core/tests/quarantine_request.rs
+++ b/crates/core/tests/quarantine_request.rs
@@ -7,7 +7,17 @@
 };
 
 fn content(body: &str) -> Part {
-    request("x.example", "/s/1", "f0:40,own:100", body.as_bytes())
+    content_of("org", body)
+}
+
+fn content_of(caller: &str, body: &str) -> Part {
+    request(
+        caller,
+        "x.example",
+        "/s/1",
+        "f0:40,own:100",
+        body.as_bytes(),
+    )
 }
 
 fn accepts(ledger: &mut Ledger, parts: &[Part], now: Instant) -> bool {
@@ -72,17 +82,32 @@
     ));
 }
 
+/// Guards against taking the answers to one caller for proof that the same request of another one
+/// crashes no engine, and against refusing the former.
+#[test]
+fn content_of_another_caller_is_answered() {
+    let now = Instant::now();
+    let (bad, sound) = (content_of("org", ""), content_of("other", ""));
+    let mut ledger = Ledger::default();
+    for engine in ["i-1", "i-2"] {
+        ledger.record_completion(&[sound], now);
+        ledger.record_crash(&[bad], engine, now + Duration::from_secs(1));
+    }
+    let later = now + Duration::from_secs(2);
+    assert!(!accepts(&mut ledger, &[bad], later));
+    assert!(accepts(&mut ledger, &[sound], later));
+}
+
 #[rstest]
-#[case::of_another_host("y.example", "/s/1", "f0:40", "body")]
-#[case::of_another_target("x.example", "/s/2", "f0:40", "body")]
-#[case::with_another_prompt("x.example", "/s/1", "f1:40", "body")]
-#[case::with_another_body("x.example", "/s/1", "f0:40", "ydob")]
-fn contents_differ(
-    #[case] host: &str,
-    #[case] target: &str,
-    #[case] prompt: &str,
-    #[case] body: &str,
-) {
-    let first = request("x.example", "/s/1", "f0:40", b"body");
-    assert_ne!(request(host, target, prompt, body.as_bytes()), first);
+#[case::of_another_caller(["other", "x.example", "/s/1", "f0:40", "body"])]
+#[case::of_another_host(["org", "y.example", "/s/1", "f0:40", "body"])]
+#[case::of_another_target(["org", "x.example", "/s/2", "f0:40", "body"])]
+#[case::with_another_prompt(["org", "x.example", "/s/1", "f1:40", "body"])]
+#[case::with_another_body(["org", "x.example", "/s/1", "f0:40", "ydob"])]
+fn contents_differ(#[case] other: [&str; 5]) {
+    let hash = |[caller, host, target, prompt, body]: [&str; 5]| {
+        request(caller, host, target, prompt, body.as_bytes())
+    };
+    let first = hash(["org", "x.example", "/s/1", "f0:40", "body"]);
+    assert_ne!(hash(other), first);
 }
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -65,14 +65,15 @@
 }
 
 /// Hash of the content of a request, by which it is recognised under another id.
-fn content(parts: &Parts, body: &[u8]) -> Part {
+fn content(organisation: Option<&Organisation>, parts: &Parts, body: &[u8]) -> Part {
+    let caller = organisation.map_or("", |organisation| &organisation.name);
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let target = parts
         .uri
         .path_and_query()
         .map_or("/", |target| target.as_str());
-    quarantine::request(host, target, wire::prompt(&parts.headers), body)
+    quarantine::request(caller, host, target, wire::prompt(&parts.headers), body)
 }
 
 /// Validates a request and reads its body.
@@ -107,7 +108,7 @@
         .is_some_and(|timeout| state.is_caller_retry(&route, timeout));
     let shared_parts = request.shared_parts.iter();
     let mut prompt_parts: Vec<Part> = shared_parts.map(|id| quarantine::part(id)).collect();
-    let content = content(&parts, &body);
+    let content = content(organisation.as_deref(), &parts, &body);
     prompt_parts.push(content);
     let mut trace = Trace::new(&request.id, state.settings.options.log_sample);
     trace.add(
