Hosts that were out of reach learn of quarantines with the next probe

News of a quarantine is passed on in three rounds. Probes and heartbeats now carry a digest of the quarantined hashes, and a host with another one is sent the statements, at most every 0.3 s.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -46,6 +46,8 @@
 /// Shortest interval between two answers with the completion of the same part, and smallest
 /// difference between two completions of a part that are passed on.
 const ANSWER_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest interval between two answers to hosts that know other quarantines.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval at which old records are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of calls of [`Ledger::news`] that return the same news. Once is not enough: a push to three
@@ -144,6 +146,8 @@
     /// Quarantined parts as of the last call of [`Ledger::changes`].
     reported: BTreeSet<Part>,
     abandoned: Abandoned,
+    /// When statements were last sent to a host that knew other quarantines.
+    caught_up_at: Option<Instant>,
     expired_at: Option<Instant>,
 }
 
@@ -366,6 +370,26 @@
             .collect()
     }
 
+    /// Digest of the quarantined parts, 0 if there are none. Hosts compare theirs with each probe.
+    pub fn digest(&self, now: Instant) -> u64 {
+        self.quarantined(now).fold(0, |digest, part| digest ^ part)
+    }
+
+    /// Returns at most `max` statements for a host with this digest, if it differs from the own one:
+    /// the host may have been out of reach when they were news. Empty within a short time of the last
+    /// ones.
+    pub fn catch_up(&mut self, digest: u64, max: usize, now: Instant) -> Vec<Statement> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < CATCH_UP_INTERVAL;
+        if self.digest(now) == digest || self.caught_up_at.is_some_and(is_recent) {
+            return Vec::new();
+        }
+        let statements = self.statements(max, now);
+        if !statements.is_empty() {
+            self.caught_up_at = Some(now);
+        }
+        statements
+    }
+
     /// Removes crashes and completions that are too old to matter.
     pub fn expire(&mut self, now: Instant) {
         self.expired_at = Some(now);
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -123,6 +123,7 @@
             event!(Info, "engine_leaving", engine = engine, source = host);
         }
     }
+    quarantine::catch_up(state, entry.quarantined, from);
     let position = |era, offset| Position { era, offset };
     let offsets = Offsets {
         operator: position(entry.era, entry.operator_end),
@@ -242,6 +243,7 @@
         targets: catalog.map_or_else(Vec::new, |catalog| encode_targets(state, &catalog)),
         store_lost: state.failing_topics.load(Ordering::Relaxed) > 0,
         news_root: String::new(),
+        quarantined: lock(&state.quarantine).digest(clock::now()),
         leaving_engines: leaving,
     }
 }
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -116,6 +116,14 @@
     }
 }
 
+/// Tells an entry host which parts are quarantined if its digest shows that it knows others.
+pub fn catch_up(state: &State, digest: u64, address: Ipv4Addr) {
+    let statements = lock(&state.quarantine).catch_up(digest, MAX_STATEMENTS, clock::now());
+    if !statements.is_empty() {
+        send(state, &statements, true, &[address]);
+    }
+}
+
 fn send(state: &State, statements: &[Statement], quarantined: bool, to: &[Ipv4Addr]) {
     let packet = state.socket.encode(Body::Parts(Parts {
         parts: statements.iter().map(encode).collect(),
