--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -508,27 +508,3 @@
     let later = now + ms(1_000);
     assert_eq!(ledger.quarantined(later).collect::<Vec<_>>(), [bad]);
 }
-
-/// Guards against a host that does not learn of a quarantine because it was out of reach while this
-/// was news, and against an exchange without end between hosts that know the same.
-#[test]
-fn host_that_was_out_of_reach_sends_a_quarantined_part() {
-    let now = start();
-    let (mut informed, mut other) = (Ledger::default(), Ledger::default());
-    let bad = part("bad");
-    crash_on(&mut informed, &[bad], 0..3, now);
-    let mut now = now + CONFIRMATION;
-    while informed.has_news() {
-        informed.news(usize::MAX, now);
-    }
-    assert!(accepts(&mut other, &[bad], now));
-    for statement in informed.catch_up(other.digest(now), 16, now) {
-        other.merge(&statement, now);
-    }
-    assert_eq!(informed.catch_up(0, 16, now + ms(299)), [], "too soon");
-    now += CONFIRMATION;
-    assert!(!accepts(&mut other, &[bad], now));
-    assert_eq!(informed.digest(now), other.digest(now));
-    let digest = other.digest(now);
-    assert_eq!(informed.catch_up(digest, 16, now + ms(10_000)), []);
-}
--- a/crates/core/tests/quarantine_fleet.rs
+++ b/crates/core/tests/quarantine_fleet.rs
@@ -318,3 +318,37 @@
         );
     }
 }
+
+/// Guards against a host that does not learn of a quarantine because it was out of reach while this
+/// was news, and against an exchange without end between hosts that know the same.
+#[test]
+fn host_that_was_out_of_reach_sends_a_quarantined_part() {
+    let now = Instant::now();
+    let (mut informed, mut other) = (Ledger::default(), Ledger::default());
+    let bad = part("bad");
+    let confirmation = Duration::from_millis(300);
+    for engine in ["i-1", "i-2", "i-3"] {
+        informed.record_crash(&[bad], engine, now);
+    }
+    let mut now = now + confirmation;
+    while informed.has_news() {
+        informed.news(usize::MAX, now);
+    }
+    assert_eq!(other.check(&[bad], |_| 1_000, now), Verdict::Accept);
+    for statement in informed.catch_up(other.digest(now), 16, now) {
+        other.merge(&statement, now);
+    }
+    assert_eq!(
+        informed.catch_up(0, 16, now + Duration::from_millis(299)),
+        [],
+        "too soon"
+    );
+    now += confirmation;
+    assert_ne!(other.check(&[bad], |_| 1_000, now), Verdict::Accept);
+    assert_eq!(informed.digest(now), other.digest(now));
+    let digest = other.digest(now);
+    assert_eq!(
+        informed.catch_up(digest, 16, now + Duration::from_secs(10)),
+        []
+    );
+}
