A check that finds one engine alive no longer forgets attempts at others

Found on reading the change: when two engines were due for their last check at once, the result of the first dropped the attempts at the second, whose end then counted for nothing. Each engine's attempts are now its own. last_check_is_left_out fails with the earlier form (0 attempts counted, 1 expected).

Names: `Instance` is what is checked, as `Check` stood beside `Ledger::check`.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -28,7 +28,7 @@
     },
 };
 
-pub use abandoned::{Check, Finding};
+pub use abandoned::{Finding, Instance};
 
 /// Hash of a prompt part.
 pub type Part = u64;
--- a/crates/core/src/quarantine/abandoned.rs
+++ b/crates/core/src/quarantine/abandoned.rs
@@ -22,7 +22,7 @@
 const MEMORY: Duration = Duration::from_millis(2_500);
 /// Shortest interval between two checks of an engine.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Largest number of attempts that are remembered.
+/// Largest number of attempts that are remembered; later ones are left out.
 const MAX_ATTEMPTS: usize = 4_096;
 
 /// What is known of an engine that is checked.
@@ -36,10 +36,10 @@
     Unknown,
 }
 
-/// Engine that is to be checked.
+/// Engine instance that is to be checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Check {
-    /// Id of the instance.
+pub struct Instance {
+    /// Its id.
     pub engine: Engine,
     /// Address of its HTTP interface.
     pub address: SocketAddr,
@@ -64,14 +64,15 @@
     }
 }
 
+/// Attempts at one engine.
 #[derive(Debug)]
-struct Site {
+struct Pending {
     address: SocketAddr,
     attempts: Vec<Attempt>,
     checked_at: Option<Instant>,
 }
 
-impl Site {
+impl Pending {
     fn check_at(&self) -> Option<Instant> {
         let due = self.attempts.iter().map(Attempt::check_at).min()?;
         let allowed = self.checked_at.map(|at| at + CHECK_INTERVAL);
@@ -79,43 +80,68 @@
     }
 }
 
-/// Abandoned attempts by engine instance.
+/// Abandoned attempts by the id of the engine instance.
 #[derive(Debug, Default)]
 pub(super) struct Abandoned {
-    sites: BTreeMap<Engine, Site>,
+    engines: BTreeMap<Engine, Pending>,
     count: usize,
 }
 
 impl Abandoned {
-    fn insert(&mut self, check: &Check, parts: &[Part], now: Instant) {
+    fn insert(&mut self, instance: &Instance, parts: &[Part], now: Instant) {
         if self.count >= MAX_ATTEMPTS {
             return;
         }
         self.count += 1;
-        let site = || Site {
-            address: check.address,
+        let pending = || Pending {
+            address: instance.address,
             attempts: Vec::new(),
             checked_at: None,
         };
-        let site = self.sites.entry(check.engine.clone()).or_insert_with(site);
-        site.attempts.push(Attempt {
+        let pending = self
+            .engines
+            .entry(instance.engine.clone())
+            .or_insert_with(pending);
+        pending.attempts.push(Attempt {
             parts: parts.into(),
             ended_at: now,
             survived: false,
         });
     }
 
+    /// Forgets the attempts at an engine whose last check has shown that it is alive.
+    fn record_survival(&mut self, engine: &str, checked_at: Instant) {
+        let Some(pending) = self.engines.get_mut(engine) else {
+            return;
+        };
+        for attempt in &mut pending.attempts {
+            attempt.survived |= attempt.ended_at + FIRST_CHECK <= checked_at;
+        }
+        let before = pending.attempts.len();
+        pending
+            .attempts
+            .retain(|attempt| checked_at < attempt.ended_at + LAST_CHECK);
+        self.count -= before - pending.attempts.len();
+        if pending.attempts.is_empty() {
+            self.engines.remove(engine);
+        }
+    }
+
     fn retain(&mut self, keep: impl Fn(&Attempt) -> bool) {
-        self.sites.retain(|_, site| {
-            site.attempts.retain(&keep);
-            !site.attempts.is_empty()
+        self.engines.retain(|_, pending| {
+            pending.attempts.retain(&keep);
+            !pending.attempts.is_empty()
         });
-        self.count = self.sites.values().map(|site| site.attempts.len()).sum();
+        self.count = self
+            .engines
+            .values()
+            .map(|pending| pending.attempts.len())
+            .sum();
     }
 
     fn remove(&mut self, engine: &str) -> Vec<Attempt> {
-        let site = self.sites.remove(engine);
-        let attempts = site.map_or_else(Vec::new, |site| site.attempts);
+        let pending = self.engines.remove(engine);
+        let attempts = pending.map_or_else(Vec::new, |pending| pending.attempts);
         self.count -= attempts.len();
         attempts
     }
@@ -124,27 +150,27 @@
 impl Ledger {
     /// Remembers an attempt with these parts that ended without a result. One whose parts were all
     /// answered lately needs no check.
-    pub fn record_abandoned(&mut self, parts: &[Part], check: &Check, now: Instant) {
+    pub fn record_abandoned(&mut self, parts: &[Part], instance: &Instance, now: Instant) {
         let is_refuted = |part: &Part| {
             let record = self.records.get(part);
             record.is_some_and(|record| record.refutes(now))
         };
         if !parts.iter().all(is_refuted) {
-            self.abandoned.insert(check, parts, now);
+            self.abandoned.insert(instance, parts, now);
         }
     }
 
     /// Engines that are to be checked now; [`Ledger::record_finding`] takes the results.
-    pub fn due_checks(&mut self, now: Instant) -> Vec<Check> {
+    pub fn due_checks(&mut self, now: Instant) -> Vec<Instance> {
         self.abandoned
             .retain(|attempt| now.saturating_duration_since(attempt.ended_at) < MEMORY);
         let mut due = Vec::new();
-        for (engine, site) in &mut self.abandoned.sites {
-            if site.check_at().is_some_and(|at| at <= now) {
-                site.checked_at = Some(now);
-                due.push(Check {
+        for (engine, pending) in &mut self.abandoned.engines {
+            if pending.check_at().is_some_and(|at| at <= now) {
+                pending.checked_at = Some(now);
+                due.push(Instance {
                     engine: engine.clone(),
-                    address: site.address,
+                    address: pending.address,
                 });
             }
         }
@@ -153,14 +179,14 @@
 
     /// Time of the next check, if any attempt is remembered.
     pub fn next_check(&self) -> Option<Instant> {
-        let sites = self.abandoned.sites.values();
-        sites.filter_map(Site::check_at).min()
+        let engines = self.abandoned.engines.values();
+        engines.filter_map(Pending::check_at).min()
     }
 
     /// Whether an attempt awaits its first check.
     pub fn has_unchecked(&self) -> bool {
-        let mut sites = self.abandoned.sites.values();
-        sites.any(|site| site.attempts.iter().any(|attempt| !attempt.survived))
+        let mut engines = self.abandoned.engines.values();
+        engines.any(|pending| pending.attempts.iter().any(|attempt| !attempt.survived))
     }
 
     /// Takes in what a check of an engine, begun at `checked_at`, or another attempt there has shown.
@@ -175,14 +201,7 @@
         match finding {
             Finding::Unknown => 0,
             Finding::Alive => {
-                if let Some(site) = self.abandoned.sites.get_mut(engine) {
-                    for attempt in &mut site.attempts {
-                        attempt.survived |= attempt.ended_at + FIRST_CHECK <= checked_at;
-                    }
-                }
-                self.abandoned.retain(|attempt| {
-                    !attempt.survived || checked_at < attempt.ended_at + LAST_CHECK
-                });
+                self.abandoned.record_survival(engine, checked_at);
                 0
             }
             Finding::Ended => {
--- a/crates/core/tests/quarantine_abandoned.rs
+++ b/crates/core/tests/quarantine_abandoned.rs
@@ -1,7 +1,7 @@
 //! Tests of attempts that end before it is known whether their engine crashes on them.
 
 use {
-    jayspread_core::quarantine::{Check, Finding, Ledger, Part, Verdict, request},
+    jayspread_core::quarantine::{Finding, Instance, Ledger, Part, Verdict, request},
     rstest::rstest,
     std::time::{Duration, Instant},
 };
@@ -14,8 +14,8 @@
     request("org", "x.example", "/r/1", "", body.as_bytes())
 }
 
-fn check(engine: &str) -> Check {
-    Check {
+fn instance(engine: &str) -> Instance {
+    Instance {
         engine: engine.into(),
         address: ([127, 0, 0, 1], 80).into(),
     }
@@ -40,7 +40,7 @@
     let mut ledger = Ledger::default();
     let bad = content("bad");
     for engine in ["i-1", "i-2"] {
-        ledger.record_abandoned(&[bad], &check(engine), start);
+        ledger.record_abandoned(&[bad], &instance(engine), start);
     }
     for (at, finding) in findings {
         for engine in ["i-1", "i-2"] {
@@ -61,7 +61,7 @@
     ledger.record_completion(&[popular], now);
     for engine in ["i-1", "i-2", "i-3"] {
         now += ms(5_000);
-        ledger.record_abandoned(&[popular], &check(engine), now);
+        ledger.record_abandoned(&[popular], &instance(engine), now);
         assert_eq!(ledger.next_check(), None, "no check is needed");
         ledger.record_finding(engine, Finding::Ended, now, now);
         assert!(accepts(&mut ledger, &[popular], now));
@@ -77,7 +77,7 @@
     for step in 0..5_000 {
         let now = start + ms(step);
         if step < 2_000 {
-            ledger.record_abandoned(&[content(&step.to_string())], &check("i-1"), now);
+            ledger.record_abandoned(&[content(&step.to_string())], &instance("i-1"), now);
         }
         for due in ledger.due_checks(now) {
             first_check.get_or_insert(step);
@@ -90,17 +90,23 @@
     assert_eq!(ledger.next_check(), None, "all attempts are forgotten");
 }
 
-/// Guards against forgetting which check of an engine is due while its attempts end one by one.
+/// Guards against forgetting a check of an engine, also because another one was found alive first.
 #[test]
 fn last_check_is_left_out() {
     let start = Instant::now();
     let mut ledger = Ledger::default();
-    ledger.record_abandoned(&[content("a")], &check("i-1"), start);
+    ledger.record_abandoned(&[content("a")], &instance("i-1"), start);
     assert!(ledger.due_checks(start + ms(299)).is_empty());
     assert!(ledger.has_unchecked());
-    assert_eq!(ledger.due_checks(start + ms(300)), [check("i-1")]);
+    assert_eq!(ledger.due_checks(start + ms(300)), [instance("i-1")]);
     let checked_at = start + ms(300);
     ledger.record_finding("i-1", Finding::Alive, checked_at, checked_at);
     assert!(!ledger.has_unchecked());
     assert_eq!(ledger.next_check(), Some(start + ms(2_000)));
+    ledger.record_abandoned(&[content("a")], &instance("i-2"), start);
+    ledger.record_finding("i-2", Finding::Alive, checked_at, checked_at);
+    let last = start + ms(2_000);
+    assert_eq!(ledger.due_checks(last), [instance("i-1"), instance("i-2")]);
+    ledger.record_finding("i-1", Finding::Alive, last, last);
+    assert_eq!(ledger.record_finding("i-2", Finding::Ended, last, last), 1);
 }
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -268,7 +268,10 @@
         "no_engine" => "no listed engine may serve it, by version, region or state".to_owned(),
         "quarantined" => {
             let part = last_value(lines, "quarantined", "part").unwrap_or("unknown");
-            format!("engines crash on part {part} of its prompt")
+            match part {
+                "request" => "engines crash on a request with its content".to_owned(),
+                part => format!("engines crash on part {part} of its prompt"),
+            }
         }
         "resting" => "all its engines had asked for a rest".to_owned(),
         other => other.to_owned(),
@@ -292,6 +295,11 @@
     }
     let missed = last_value(lines, "missed", "reason").unwrap_or(reason);
     let kind = last_value(lines, "received", "kind").unwrap_or("unknown");
+    if missed == "withdrawn" {
+        return format!(
+            "it was withdrawn from {engine}, which had not begun it shortly before work on its version had to end, and no other engine took it{budget}"
+        );
+    }
     if missed.starts_with("lost") || missed == "late" {
         let repeat = if kind == "Once" {
             "; it must not be sent twice"
--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -12,7 +12,7 @@
     http::StatusCode,
     jayspread_core::{
         outlier::Outcome,
-        quarantine::{Check, Part},
+        quarantine::{Instance, Part},
     },
     jayspread_net::channel::{Channel, Error},
     std::{
@@ -155,11 +155,12 @@
             return;
         }
         let reservation = &self.permit.reservation;
-        let check = Check {
+        let instance = Instance {
             engine: reservation.id.clone(),
             address: reservation.address,
         };
-        self.state().record_abandoned(&self.subject.parts, &check);
+        self.state()
+            .record_abandoned(&self.subject.parts, &instance);
     }
 }
 
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -8,7 +8,7 @@
     jayspread_core::{
         id,
         placement::{Refusal, Reservation},
-        quarantine::{Change, Check, Finding, Ledger, Part, Statement, Verdict},
+        quarantine::{Change, Finding, Instance, Ledger, Part, Statement, Verdict},
     },
     jayspread_net::{channel::Channel, clock, event, members},
     jayspread_schema::peer::{Part as PartMessage, Parts, Role, packet::Body},
@@ -53,8 +53,8 @@
         if !news.is_empty() {
             send(&state, &news, false, &random_hosts(&state));
         }
-        for check in checks {
-            tokio::spawn(check_engine(Arc::clone(&state), check));
+        for instance in checks {
+            tokio::spawn(check_engine(Arc::clone(&state), instance));
         }
         let wake_at = match next_check {
             _ if !is_idle => Some(now + ROUND_INTERVAL),
@@ -74,22 +74,22 @@
 }
 
 /// Checks whether an engine instance has ended: a process that runs accepts connections.
-async fn check_engine(state: Arc<State>, check: Check) {
+async fn check_engine(state: Arc<State>, instance: Instance) {
     let checked_at = clock::now();
-    let is_connected = lock(&state.pool).is_connected(&check.engine);
+    let is_connected = lock(&state.pool).is_connected(&instance.engine);
     let finding = if is_connected {
         Finding::Alive
     } else {
-        match Channel::open(check.address, CONNECT_TIMEOUT).await {
+        match Channel::open(instance.address, CONNECT_TIMEOUT).await {
             Ok(channel) => {
-                lock(&state.pool).put(&check.engine, channel);
+                lock(&state.pool).put(&instance.engine, channel);
                 Finding::Alive
             }
             Err(cause) if cause.is_refused() => Finding::Ended,
             Err(_) => Finding::Unknown,
         }
     };
-    state.record_finding(&check.engine, finding, checked_at);
+    state.record_finding(&instance.engine, finding, checked_at);
 }
 
 /// Passes on what is left of the news before the process ends.
@@ -246,10 +246,10 @@
     }
 
     /// Records that an attempt ended before it was known whether the engine would crash on it.
-    pub fn record_abandoned(&self, parts: &[Part], check: &Check) {
+    pub fn record_abandoned(&self, parts: &[Part], instance: &Instance) {
         self.metrics.abandoned_attempts.inc();
         let now = clock::now();
-        self.update_quarantine(now, |ledger| ledger.record_abandoned(parts, check, now));
+        self.update_quarantine(now, |ledger| ledger.record_abandoned(parts, instance, now));
     }
 
     /// Records what is known of an engine since `checked_at`.
--- a/crates/entry/tests/explain.rs
+++ b/crates/entry/tests/explain.rs
@@ -50,7 +50,19 @@
 time=2026-12-04T11:00:00.000Z level=Info event=failed request=c0ffee reason=quarantined after_ms=0
 ";
 
+const WITHDRAWN: &str = "\
+time=2026-12-04T11:00:00.000Z level=Info event=received request=c0ffee route=stream kind=Resumable organisation=org prompt=100 parts=f0 timeout_ms=3000 caller_retry=false revision=1
+time=2026-12-04T11:00:00.001Z level=Info event=sent request=c0ffee engine=i-1 version=1 version_left_ms=900 send=1
+time=2026-12-04T11:00:00.751Z level=Info event=missed request=c0ffee engine=i-1 reason=withdrawn
+time=2026-12-04T11:00:01.251Z level=Info event=failed request=c0ffee reason=no_engine after_ms=1251
+";
+
 #[rstest]
+#[case::withdrawn(
+    WITHDRAWN,
+    "c0ffee",
+    "it was withdrawn from i-1, which had not begun it shortly before work on its version had to end, and no other engine took it"
+)]
 #[case::refused_under_load(
     REFUSED,
     "8a506f92ad2caa4d",
