The exchange of news is woken for a new abandoned attempt only

Each record of an answer woke it while any attempt awaited its check. The digest of a heartbeat is taken before the message is built, so that no lock is held meanwhile.

--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -234,6 +234,7 @@
         let ids = table.announced_leaving().take(MAX_LEAVING);
         ids.map(ToString::to_string).collect()
     };
+    let quarantined = lock(&state.quarantine).digest(clock::now());
     Entry {
         revision: catalog.as_ref().map_or(0, |catalog| catalog.revision),
         operator_end: offsets.operator.offset,
@@ -243,7 +244,7 @@
         targets: catalog.map_or_else(Vec::new, |catalog| encode_targets(state, &catalog)),
         store_lost: state.failing_topics.load(Ordering::Relaxed) > 0,
         news_root: String::new(),
-        quarantined: lock(&state.quarantine).digest(clock::now()),
+        quarantined,
         leaving_engines: leaving,
     }
 }
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -1,4 +1,5 @@
-//! Exchange of what entry hosts know of prompt parts that crash engines, and its use for requests.
+//! Exchange of what entry hosts know of prompt parts and requests that crash engines, its use for
+//! requests, and checks of the engines at which attempts were abandoned.
 
 use {
     crate::{
@@ -14,6 +15,7 @@
     jayspread_schema::peer::{Part as PartMessage, Parts, Role, packet::Body},
     rand::seq::IteratorRandom,
     std::{
+        future,
         net::Ipv4Addr,
         sync::Arc,
         time::{Duration, Instant},
@@ -56,19 +58,20 @@
         for instance in checks {
             tokio::spawn(check_engine(Arc::clone(&state), instance));
         }
-        let wake_at = match next_check {
-            _ if !is_idle => Some(now + ROUND_INTERVAL),
-            // Checks that are due at about the same time are done together.
-            Some(at) => Some(at.max(now + CHECK_INTERVAL)),
-            None => None,
+        if !is_idle {
+            time::sleep(ROUND_INTERVAL).await;
+            continue;
+        }
+        let check_due = async {
+            match next_check {
+                // Checks that are due at about the same time are done together.
+                Some(at) => time::sleep_until(at.max(now + CHECK_INTERVAL).into()).await,
+                None => future::pending().await,
+            }
         };
-        match wake_at {
-            Some(at) if !is_idle => time::sleep_until(at.into()).await,
-            Some(at) => tokio::select! {
-                () = state.quarantine_due.notified() => {}
-                () = time::sleep_until(at.into()) => {}
-            },
-            None => state.quarantine_due.notified().await,
+        tokio::select! {
+            () = state.quarantine_due.notified() => {}
+            () = check_due => {}
         }
     }
 }
@@ -195,7 +198,7 @@
         let mut ledger = lock(&self.quarantine);
         update(&mut ledger);
         report_changes(self, &mut ledger, now);
-        if ledger.has_news() || ledger.has_unconfirmed(now) || ledger.has_unchecked() {
+        if ledger.has_news() || ledger.has_unconfirmed(now) {
             self.quarantine_due.notify_one();
         }
     }
@@ -249,7 +252,8 @@
     pub fn record_abandoned(&self, parts: &[Part], instance: &Instance) {
         self.metrics.abandoned_attempts.inc();
         let now = clock::now();
-        self.update_quarantine(now, |ledger| ledger.record_abandoned(parts, instance, now));
+        lock(&self.quarantine).record_abandoned(parts, instance, now);
+        self.quarantine_due.notify_one();
     }
 
     /// Records what is known of an engine since `checked_at`.
