A withdrawn request is closed at once

The answer is now read on only if that ends before the limit. The tests of the limit and of answers that nobody awaits pass.

--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -14,11 +14,14 @@
         outlier::Outcome,
         quarantine::{Instance, Part},
     },
-    jayspread_net::channel::{Channel, Error},
+    jayspread_net::{
+        channel::{Channel, Error},
+        clock,
+    },
     std::{
         ops::{Deref, DerefMut},
         sync::Arc,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{runtime::Handle, time},
 };
@@ -38,6 +41,16 @@
     pub parts: Arc<[Part]>,
     /// Whether the answer is a stream.
     pub is_stream: bool,
+    /// Time by which the engine must have begun, if its version is an old one.
+    pub begin_by: Option<Instant>,
+}
+
+impl Subject {
+    /// Whether the answer may still be read when nobody awaits it. A stream is closed at once: the
+    /// engine would go on reading its prompt. So is a request that might begin too late.
+    fn may_linger(&self, now: Instant) -> bool {
+        !self.is_stream && self.begin_by.is_none_or(|at| now + LINGER_TIME < at)
+    }
 }
 
 /// How much is known of the engine's fate.
@@ -212,9 +225,9 @@
         if !line.channel.has_sent() {
             return;
         }
-        // A stream is closed at once: the engine would go on reading its prompt.
-        let can_linger =
-            line.fate == Fate::Open && !line.subject.is_stream && line.channel.is_request_sent();
+        let can_linger = line.fate == Fate::Open
+            && line.subject.may_linger(clock::now())
+            && line.channel.is_request_sent();
         match Handle::try_current() {
             Ok(runtime) if can_linger => {
                 runtime.spawn(line.linger());
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -304,6 +304,7 @@
                 request_id: self.request.id.clone(),
                 parts: Arc::clone(&self.prompt_parts),
                 is_stream: self.route.kind.is_stream(),
+                begin_by: self.begin_by,
             },
             self.route.kind,
             timeout,
