Log why a stream was not resumed, how long it was silent, and requests that end by a panic

Now: event panicked, event not_resumed with the reason, event silence with the time without an event. No decision is changed.

--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -26,6 +26,7 @@
     jayspread_platform::header as wire,
     std::{
         sync::{Arc, atomic::Ordering},
+        thread,
         time::{Duration, Instant},
     },
     tokio::time,
@@ -100,14 +101,21 @@
     fn drop(&mut self) {
         self.state.in_flight.fetch_sub(1, Ordering::AcqRel);
         if self.trace.is_some() {
-            self.state.metrics.disconnected.inc();
+            let panicked = thread::panicking();
+            let event = if panicked {
+                metrics::count(&self.state.metrics.failed, "panicked");
+                "panicked"
+            } else {
+                self.state.metrics.disconnected.inc();
+                "caller_left"
+            };
             let (after, sends) = (self.elapsed().as_millis(), self.call.sends());
             let engine = self.tried.last().cloned().unwrap_or_else(|| "none".into());
             self.trace_event(
-                "caller_left",
+                event,
                 format_args!("after_ms={after} sends={sends} engine={engine}"),
             );
-            self.finish_trace(false);
+            self.finish_trace(panicked);
         }
     }
 }
@@ -410,11 +418,24 @@
             "stream_broke",
             format_args!("reason={reason} last={:?}", self.call.last_event_id()),
         );
-        let problem = Problem::bad_gateway(reason);
-        self.authorize_retry(problem).ok()?;
-        let response = self.send().await.ok()?;
-        self.state.metrics.resumed.inc();
-        Some(response)
+        let resumed = match self.authorize_retry(Problem::bad_gateway(reason)) {
+            Ok(()) => self.send().await,
+            Err(problem) => Err(problem),
+        };
+        match resumed {
+            Ok(response) => {
+                self.state.metrics.resumed.inc();
+                Some(response)
+            }
+            Err(problem) => {
+                let (sends, reason) = (self.call.sends(), problem.reason);
+                self.trace_event(
+                    "not_resumed",
+                    format_args!("sends={sends} reason={reason}"),
+                );
+                None
+            }
+        }
     }
 
     /// Takes a retry after an engine's own error response; false if none is allowed.
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -201,6 +201,11 @@
     /// Resumes the stream at another engine.
     async fn resume(&mut self, broken: Stream, reason: &'static str) -> Result<(), Aborted> {
         drop(broken);
+        let silent_ms = clock::now()
+            .saturating_duration_since(self.last_event_at)
+            .as_millis();
+        self.exchange
+            .trace_event("silence", format_args!("silent_ms={silent_ms}"));
         let Some(response) = self.exchange.resume(reason).await else {
             return Err(Aborted);
         };
