--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -13,6 +13,9 @@
 pub enum Event {
     /// Its bytes are about to be sent to an engine.
     Send,
+    /// Its bytes are about to be sent to another engine, while the answer of the first one is still
+    /// awaited.
+    SendBeside,
     /// The connection failed before any of its bytes were sent.
     Unsent,
     /// The engine stated that it has not run the request.
@@ -78,6 +81,10 @@
     fn in_flight(&mut self, event: &Event) -> Outcome<State> {
         match event {
             Event::Send => panic!("sent to two engines at once"),
+            Event::SendBeside => {
+                self.count_beside();
+                Transition(State::beside())
+            }
             Event::Unsent => {
                 self.sends -= 1;
                 Transition(State::not_run())
@@ -100,6 +107,10 @@
                 self.relay(*id);
                 Handled
             }
+            Event::SendBeside => {
+                self.count_beside();
+                Transition(State::beside())
+            }
             Event::Lost | Event::NotRun => Transition(State::may_have_run()),
             Event::Done => Transition(State::done()),
             Event::Send | Event::Unsent => panic!("sent while an answer is streamed"),
@@ -137,21 +148,54 @@
                 Transition(State::streaming())
             }
             Event::Done => Transition(State::done()),
+            Event::SendBeside => {
+                self.count_beside();
+                Transition(State::beside())
+            }
             Event::Send => panic!("sent to two engines at once"),
         }
     }
 
+    /// Two engines have the request, and the first usable answer counts.
+    #[state]
+    fn beside(&mut self, event: &Event) -> Outcome<State> {
+        match event {
+            Event::Unsent => {
+                self.sends -= 1;
+                Transition(State::retrying())
+            }
+            Event::NotRun | Event::Lost => Transition(State::retrying()),
+            Event::Relayed(id) => {
+                self.relay(*id);
+                Transition(State::streaming())
+            }
+            Event::Done => Transition(State::done()),
+            Event::Send | Event::SendBeside => panic!("sent to three engines at once"),
+        }
+    }
+
     /// The caller has the complete answer.
     #[state]
     fn done(&mut self, event: &Event) -> Outcome<State> {
         match event {
-            Event::Send => panic!("sent after it was answered"),
+            Event::Send | Event::SendBeside => panic!("sent after it was answered"),
             _ => Handled,
         }
     }
 }
 
 impl Machine {
+    /// Whether another engine may get the request, given that it may have run.
+    fn is_repeatable(&self) -> bool {
+        let resumable = !self.response_started || self.last_event_id.is_some();
+        self.kind.retryable() && resumable && self.sends < self.max_sends
+    }
+
+    fn count_beside(&mut self) {
+        assert!(self.is_repeatable(), "sent again although it may have run");
+        self.sends += 1;
+    }
+
     fn relay(&mut self, id: Option<u64>) {
         self.response_started = true;
         if let Some(id) = id {
@@ -208,6 +252,15 @@
         matches!(self.machine.state(), State::NotRun {})
     }
 
+    /// Whether the request may be sent to another engine while one has it.
+    pub fn can_send_beside(&self) -> bool {
+        let has_one_engine = matches!(
+            self.machine.state(),
+            State::InFlight {} | State::Streaming {} | State::Retrying {}
+        );
+        has_one_engine && self.machine.inner().is_repeatable()
+    }
+
     /// What may be done after a failure. Deadlines and retry budgets are up to the caller of this
     /// function.
     pub fn next_action(&self) -> Action {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod rollout;
 pub mod route;
 pub mod schedule;
+pub mod silence;
 pub mod spread;
 pub mod sse;
 pub mod swim;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -321,6 +321,13 @@
         outcome.is_some_and(|outcome| entry.engine.outlier.record_outcome(outcome, now))
     }
 
+    /// Records that the engine of a reservation is silent, while its answer is still awaited. Returns
+    /// true if that ejects the engine.
+    pub fn record_silence(&mut self, reservation: &Reservation, now: Instant) -> bool {
+        let entry = self.reserved_entry(reservation);
+        entry.is_some_and(|entry| entry.engine.outlier.record_outcome(Outcome::Failure, now))
+    }
+
     /// Whether the engine's agent reported within `age` that the engine answers.
     pub fn reported_responsive(
         &self,
--- a/crates/core/src/window.rs
+++ b/crates/core/src/window.rs
@@ -73,6 +73,8 @@
 const RATIO_USED: f64 = 0.7;
 /// Share of the permitted allowance that is used, for the same reason.
 const ALLOWANCE_USED: f64 = 0.6;
+/// Share of the budget that requests may use while their engine may still answer.
+const SPARE_SHARE: f64 = 0.5;
 
 impl Budget {
     /// Creates a budget for a window of `length`: `ratio` retries per request and `allowance` more
@@ -94,13 +96,25 @@
     /// Takes one retry; returns false if the budget is spent. The allowance is divided among
     /// `hosts`.
     pub fn try_take(&mut self, hosts: usize, now: Instant) -> bool {
-        let requests = self.requests.count(now) as f64;
-        let share = self.allowance / hosts.max(1) as f64;
-        let limit = requests * self.ratio + share;
-        if self.retries.count(now) as f64 + 1.0 > limit {
-            return false;
+        let is_left = self.used_after_one(now) <= self.limit(hosts, now);
+        if is_left {
+            self.retries.record(now);
         }
-        self.retries.record(now);
-        true
+        is_left
+    }
+
+    /// Whether a retry is left that a request may take while its engine may still answer. The rest is
+    /// kept for requests that have lost their engine.
+    pub fn has_spare(&mut self, hosts: usize, now: Instant) -> bool {
+        self.used_after_one(now) <= self.limit(hosts, now) * SPARE_SHARE
+    }
+
+    fn limit(&mut self, hosts: usize, now: Instant) -> f64 {
+        let requests = self.requests.count(now) as f64;
+        requests * self.ratio + self.allowance / hosts.max(1) as f64
+    }
+
+    fn used_after_one(&mut self, now: Instant) -> f64 {
+        self.retries.count(now) as f64 + 1.0
     }
 }
--- a/crates/core/tests/call.rs
+++ b/crates/core/tests/call.rs
@@ -139,3 +139,63 @@
         }
     }
 }
+
+#[rstest]
+#[case::before_it_is_sent(Kind::Idempotent, 2, &[], false)]
+#[case::plain(Kind::Idempotent, 2, &[Event::Send], true)]
+#[case::stream_before_the_first_event(Kind::Resumable, 2, &[Event::Send], true)]
+#[case::stream_with_events(Kind::Resumable, 2, &[Event::Send, Event::Relayed(Some(4))], true)]
+#[case::event_without_id(Kind::Resumable, 2, &[Event::Send, Event::Relayed(None)], false)]
+#[case::attempts_used_up(Kind::Idempotent, 1, &[Event::Send], false)]
+#[case::second_of_two(Kind::Idempotent, 2, &[Event::Send, Event::Lost, Event::Send], false)]
+#[case::second_of_three(Kind::Idempotent, 3, &[Event::Send, Event::Lost, Event::Send], true)]
+#[case::two_engines_have_it(Kind::Idempotent, 3, &[Event::Send, Event::SendBeside], false)]
+#[case::runs_once(Kind::Once, 2, &[Event::Send], false)]
+#[case::stream_that_runs_once(Kind::Stream, 2, &[Event::Send, Event::Relayed(Some(4))], false)]
+#[case::no_engine_has_it(Kind::Idempotent, 3, &[Event::Send, Event::Lost], false)]
+fn second_engine_beside_a_silent_one(
+    #[case] kind: Kind,
+    #[case] max_sends: u32,
+    #[case] events: &[Event],
+    #[case] allowed: bool,
+) {
+    assert_eq!(
+        call_after(kind, max_sends, events).can_send_beside(),
+        allowed
+    );
+}
+
+/// Guards against a stream that is given up because the second of two engines failed, although the
+/// silent one goes on.
+#[rstest]
+#[case::refused(Event::NotRun)]
+#[case::not_reached(Event::Unsent)]
+#[case::broken(Event::Lost)]
+fn silent_engine_goes_on_after_the_second_one_failed(#[case] failure: Event) {
+    let events = [
+        Event::Send,
+        Event::Relayed(Some(1)),
+        Event::SendBeside,
+        failure,
+        Event::Relayed(Some(2)),
+    ];
+    let mut call = call_after(Kind::Resumable, 2, &events);
+    assert_eq!(call.last_event_id(), Some(2));
+    assert!(!call.not_run());
+    call.handle(Event::Lost);
+    let resumable = matches!(failure, Event::Unsent);
+    let action = if resumable {
+        Action::Resume(2)
+    } else {
+        Action::Fail
+    };
+    assert_eq!(call.next_action(), action);
+}
+
+#[rstest]
+#[case::runs_once(Kind::Once)]
+#[case::stream_that_runs_once(Kind::Stream)]
+#[should_panic(expected = "sent again although it may have run")]
+fn request_that_runs_once_gets_no_second_engine(#[case] kind: Kind) {
+    call_after(kind, 2, &[Event::Send, Event::SendBeside]);
+}
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -213,7 +213,13 @@
     let host = &end.host;
     let reason = end.get("reason").unwrap_or("unknown");
     let sent = lines.iter().filter(|line| &*line.event == "sent").count();
-    let last_engine = last_value(lines, "sent", "engine").unwrap_or("unknown");
+    // An engine beside a silent one may have been asked last and not have answered.
+    let answering = last_value(lines, "resumed", "engine")
+        .or_else(|| last_value(lines, "first_event", "engine"))
+        .or_else(|| end.get("engine"));
+    let last_engine = answering
+        .or_else(|| last_value(lines, "sent", "engine"))
+        .unwrap_or("unknown");
     let broke = lines.iter().rfind(|line| &*line.event == "stream_broke");
     match &*end.event {
         "rejected" => format!(
@@ -221,6 +227,10 @@
             end.get("status").unwrap_or("unknown")
         ),
         "caller_left" => format!("its caller left {} ms after it came", elapsed(end)),
+        "panicked" => format!(
+            "the task that served it at {host} panicked {} ms after it came; see its line `panic`",
+            elapsed(end)
+        ),
         "answered" | "streamed" if broke.is_some() => format!(
             "its stream broke and was resumed at {last_engine}; it ended whole after {} ms",
             elapsed(end)
@@ -243,7 +253,7 @@
 fn is_end(line: &Line) -> bool {
     matches!(
         &*line.event,
-        "rejected" | "failed" | "answered" | "streamed" | "caller_left"
+        "rejected" | "failed" | "answered" | "streamed" | "caller_left" | "panicked"
     )
 }
 
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -4,10 +4,12 @@
     crate::{
         front::{
             attempt::Subject,
+            flight::{self, Answer, Flight, Flights},
             problem::Problem,
             state::State,
+            stream::Expected,
             trace::Trace,
-            upstream::{Failure, Permit, Response, Timeout},
+            upstream::{Failure, Permit, Request},
         },
         metrics,
         shared::lock,
@@ -15,48 +17,49 @@
     bytes::Bytes,
     http::request::Parts,
     jayspread_core::{
-        call::{Action, Call, Event},
-        catalog::{Backend, Catalog, Organisation, Route},
+        call::{Action, Call, Event as CallEvent},
+        catalog::{Catalog, Organisation, Route},
         id::Engine,
-        placement::{Choice, Refusal, Requirements},
+        placement::{Choice, Refusal, Reservation},
         quarantine::Part,
-        sse,
+        silence::{Awaited, Silence},
     },
     jayspread_net::clock,
     jayspread_platform::header as wire,
     std::{
-        sync::{Arc, atomic::Ordering},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
     tokio::time,
 };
 
-/// Timeout of one attempt at a plain idempotent request, as a multiple of the route's latency
-/// target.
-const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
-/// Minimum timeout of such an attempt; with less, the delay of one lost packet would exceed it.
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Shortest interval between checks whether an engine is silent.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum age of an agent's report that its engine is responsive.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(700);
 /// Retry delay suggested to a caller whose request no engine has executed.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
+pub const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Minimum remaining time for which another attempt is started.
 const MIN_REMAINING: Duration = Duration::from_millis(5);
-/// A first attempt waits for a free engine for the route's latency target divided by this; after
-/// that, an early refusal serves the caller better.
-const WAIT_DIVISOR: u32 = 8;
-/// Time for which a further attempt waits for a free engine.
-const RETRY_WAIT: Duration = Duration::from_millis(500);
-/// Retry delay suggested to a caller that retries while the service is saturated; its request gives
-/// way to the first tries of other callers.
-const SATURATED_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 /// Time before the end of the time in which work on an old version may begin at which a request that
 /// has not begun is withdrawn; the engine must notice that in time.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(150);
-/// Interval between checks for a free engine.
-const CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// Share of the latency target within which the response to a caller's retry must be expected. It
-/// is late already and must not delay responses that can still be on time.
-const CALLER_RETRY_SHARE: f64 = 0.55;
+
+/// An engine that has the request and may be silent.
+pub struct Silent {
+    /// Reservation at the engine.
+    pub reservation: Reservation,
+    /// Time at which the request was sent, or of the last event.
+    pub since: Instant,
+    /// What is awaited.
+    pub awaited: Awaited,
+    /// Whether the silence has been recorded as a failure of the engine.
+    pub reported: Arc<AtomicBool>,
+}
 
 /// A caller's request in progress.
 pub struct Exchange {
@@ -82,8 +85,6 @@
     pub deadline: Instant,
     /// Execution state, from which the next action after a failure follows.
     pub call: Call,
-    /// Time by which the engine of the current attempt must begin, if its version is an old one.
-    pub begin_by: Option<Instant>,
     /// Engines already tried.
     pub tried: Vec<Engine>,
     /// Hashes of the shared parts of the prompt, as in `request.shared_parts`, and at the end that
@@ -146,7 +147,7 @@
 
     /// Marks the request as completed with an engine's response.
     pub fn complete(&mut self, event: &str, fields: std::fmt::Arguments<'_>) {
-        self.call.handle(Event::Done);
+        self.call.handle(CallEvent::Done);
         self.state.metrics.completed.inc();
         self.trace_event(event, fields);
         self.finish_trace(false);
@@ -162,190 +163,186 @@
         self.finish_trace(true);
     }
 
-    /// Chooses an engine; waits for a limited time while all are busy.
-    async fn acquire_engine(&mut self) -> Result<Choice, Refusal> {
-        let is_first_try = !self.is_caller_retry && self.call.sends() == 0;
-        if self.is_caller_retry
-            && self.route.kind.is_stream()
-            && self.state.is_saturated(&self.service)
-        {
-            return Err(Refusal::Busy(SATURATED_RETRY_AFTER));
-        }
-        let deadline = self.wait_deadline();
-        loop {
-            self.check_quarantine()?;
-            match self.choose_engine() {
-                Err(_) if clock::now() + CHECK_INTERVAL < deadline => {
-                    time::sleep(CHECK_INTERVAL).await
-                }
-                choice => {
-                    if is_first_try && matches!(choice, Err(Refusal::Busy(_))) {
-                        self.state.mark_saturated(&self.service);
-                    }
-                    return choice;
-                }
-            }
-        }
-    }
-
-    /// Time until which the request waits for a free engine. A caller's retry does not wait at all;
-    /// after a failed attempt the wait is longer.
-    fn wait_deadline(&self) -> Instant {
-        if self.call.sends() > 0 {
-            return self.deadline.min(clock::now() + RETRY_WAIT);
-        }
-        if self.is_caller_retry {
-            return self.arrived;
-        }
-        self.arrived + self.route.latency_target / WAIT_DIVISOR
-    }
-
-    /// Chooses an engine and reserves capacity there.
-    fn choose_engine(&mut self) -> Result<Choice, Refusal> {
-        let place = self.state.place();
-        let backend = self.backend()?;
-        let model = backend.speed.as_ref().map(|speed| &speed.model);
-        let version_bounds = model.map_or_else(Vec::new, |model| self.state.version_bounds(model));
-        let requirements = Requirements {
-            route: &self.route,
-            backend,
-            region: &self.state.region,
-            organisation_regions: self
-                .organisation
-                .as_ref()
-                .map_or(&[], |organisation| &organisation.regions),
-            prompt_tokens: self.request.prompt_tokens,
-            answer_tokens: self.request.answer_tokens,
-            time_left: self.remaining_latency_target(),
-            version_bounds: &version_bounds,
-            excluded: &self.tried,
-            place,
-            resuming: self.call.response_started(),
-        };
-        let mut table = lock(&self.state.engines);
-        table.choose(&requirements, &mut rand::rng(), clock::now())
-    }
-
-    fn backend(&self) -> Result<&Backend, Refusal> {
-        let backend = self.catalog.services.get(&self.service);
-        backend.ok_or(Refusal::NoEngine(RETRY_AFTER))
-    }
-
-    /// Time within which the response should begin. A further attempt gets the route's whole
-    /// latency target, since its response is late in any case; a caller's retry gets a part of it.
-    fn remaining_latency_target(&self) -> Duration {
-        if self.call.sends() > 0 {
-            return self.route.latency_target;
-        }
-        if self.is_caller_retry {
-            return self.route.latency_target.mul_f64(CALLER_RETRY_SHARE);
+    /// Chooses an engine, waiting for one for a limited time, and sends the request there.
+    pub async fn start_attempt(&mut self) -> Result<Flight, Problem> {
+        if self.remaining() < MIN_REMAINING {
+            return Err(self.deadline_problem());
         }
-        self.route.latency_target.saturating_sub(self.elapsed())
-    }
-
-    /// Sends the request to engines until one responds; returns the response with its body unread.
-    pub async fn send(&mut self) -> Result<Response, Problem> {
-        loop {
-            if self.remaining() < MIN_REMAINING {
-                return Err(self.deadline_problem());
-            }
-            let choice = match self.acquire_engine().await {
-                Ok(choice) => choice,
-                Err(refusal) => return Err(self.refusal_problem(refusal)),
-            };
-            self.trace_event(
-                "sent",
-                format_args!(
-                    "engine={} data_centre={} expected_ms={} occupancy={} load_age_ms={} \
-                     version={} version_left_ms={} send={}",
-                    choice.reservation.id,
-                    choice.data_centre,
-                    choice
-                        .expected_first_event
-                        .map_or(0, |expected| expected.as_millis()),
-                    choice.occupancy,
-                    choice.load_age.map_or(-1, |age| age.as_millis() as i64),
-                    choice.version.unwrap_or(0),
-                    choice
-                        .version_left
-                        .map_or(-1, |left| left.as_millis() as i64),
-                    self.call.sends() + 1
-                ),
-            );
-            match self.attempt(&choice).await {
-                Ok(response) => return Ok(response),
-                Err(problem) => match self.authorize_retry(problem) {
-                    Ok(()) => {}
-                    Err(problem) => return Err(problem),
-                },
-            }
+        match self.acquire_engine().await {
+            Ok(choice) => Ok(self.send(&choice, CallEvent::Send)),
+            Err(refusal) => Err(self.refusal_problem(refusal)),
         }
     }
 
-    /// Sends the request to the chosen engine and waits for the response head.
-    async fn attempt(&mut self, choice: &Choice) -> Result<Response, Problem> {
+    /// Sends the request to the chosen engine.
+    fn send(&mut self, choice: &Choice, event: CallEvent) -> Flight {
+        self.trace_event(
+            "sent",
+            format_args!(
+                "engine={} data_centre={} expected_ms={} occupancy={} load_age_ms={} \
+                 version={} version_left_ms={} send={}",
+                choice.reservation.id,
+                choice.data_centre,
+                choice
+                    .expected_first_event
+                    .map_or(0, |expected| expected.as_millis()),
+                choice.occupancy,
+                choice.load_age.map_or(-1, |age| age.as_millis() as i64),
+                choice.version.unwrap_or(0),
+                choice
+                    .version_left
+                    .map_or(-1, |left| left.as_millis() as i64),
+                self.call.sends() + 1
+            ),
+        );
         let permit = Permit::new(&self.state, choice.reservation.clone());
+        let silence_reported = permit.silence_reported();
         self.tried.push(choice.reservation.id.clone());
-        let remaining = self.remaining();
         let forward = wire::Forward {
             instance: &choice.reservation.id,
             tenant: self
                 .organisation
                 .as_ref()
                 .map(|organisation| &*organisation.name),
-            remaining,
+            remaining: self.remaining(),
             last_event_id: self.call.last_event_id(),
             // A resumed stream goes first: its caller already has part of the response.
             urgency: self.call.response_started().then_some(0),
         };
         let head = wire::encode_request(&self.parts, self.body.len(), &forward);
-        self.call.handle(Event::Send);
-        self.begin_by = choice
+        let begin_by = choice
             .version_left
             .map(|left| clock::now() + left.saturating_sub(WITHDRAWAL_MARGIN));
-        let timeout = self.timeout();
-        let response = Response::request(
-            permit,
-            &head,
-            &self.body,
-            Subject {
+        let request = Request {
+            head,
+            body: self.body.clone(),
+            subject: Subject {
                 request_id: self.request.id.clone(),
                 parts: Arc::clone(&self.prompt_parts),
                 is_stream: self.route.kind.is_stream(),
-                begin_by: self.begin_by,
+                begin_by,
             },
-            self.route.kind,
-            timeout,
-        );
-        match response.await {
-            Ok(response) => Ok(response),
-            Err(failure) => Err(self.record_failure(failure, &choice.reservation.id)),
+            kind: self.route.kind,
+            deadline: self.deadline,
+        };
+        let reservation = choice.reservation.clone();
+        let last_event_id = self.call.last_event_id();
+        let may_be_empty = self.request.last_event_id.is_some() || self.call.response_started();
+        self.call.handle(event);
+        if self.route.kind.is_stream() {
+            let expected = Expected {
+                last_event_id,
+                may_be_empty,
+                deadline: self.deadline,
+                begin_by,
+                silence_reported: Arc::clone(&silence_reported),
+            };
+            let pending = flight::stream(permit, request, expected);
+            Flight::new(reservation, silence_reported, pending)
+        } else {
+            Flight::new(
+                reservation,
+                silence_reported,
+                flight::plain(permit, request),
+            )
         }
     }
 
-    /// Timeout for the response head, or for the body of a plain response.
-    pub fn timeout(&self) -> Timeout {
-        let can_fail_over = self.can_fail_over();
+    /// What is awaited of an engine that has the request.
+    fn awaited(&self) -> Awaited {
         let latency_target = self.route.latency_target;
-        if !self.route.kind.is_stream() {
-            let attempt_timeout =
-                (latency_target * ATTEMPT_TIMEOUT_FACTOR).max(MIN_ATTEMPT_TIMEOUT);
-            let attempt_deadline = clock::now() + attempt_timeout;
-            return Timeout {
-                deadline: if can_fail_over {
-                    self.deadline.min(attempt_deadline)
-                } else {
-                    self.deadline
-                },
-                stall_target: None,
-                begin_by: self.begin_by,
-            };
+        if self.route.kind.is_stream() {
+            Awaited::Event(latency_target)
+        } else {
+            Awaited::Answer(latency_target)
         }
-        Timeout {
-            deadline: self.deadline,
-            stall_target: can_fail_over.then_some(latency_target),
-            begin_by: self.begin_by,
+    }
+
+    /// Completes when an engine that has been silent since `since` may count as stalled; checked again
+    /// at intervals after that.
+    pub async fn silence_check(&self, since: Instant, awaited: Awaited) {
+        let stalls_at = since.checked_add(awaited.stall_limit(false));
+        let check_at = stalls_at.unwrap_or(self.deadline).min(self.deadline);
+        let check_at = check_at.max(clock::now() + SILENCE_CHECK_INTERVAL);
+        time::sleep_until(check_at.into()).await;
+    }
+
+    /// Waits until an attempt ends; starts another one beside it if its engine is silent.
+    pub async fn next_result(
+        &mut self,
+        flights: &mut Flights,
+    ) -> (Engine, Result<Answer, Failure>) {
+        loop {
+            let is_alone = flights.only().is_some();
+            let since = flights.only().map_or(self.arrived, |flight| flight.started);
+            // An answer that has arrived counts, however late this host looks for it.
+            tokio::select! {
+                biased;
+                result = flights.next() => return result,
+                () = self.silence_check(since, self.awaited()), if is_alone => {}
+            }
+            self.relieve_silent(flights);
+        }
+    }
+
+    /// Sends the request to another engine beside the only attempt in progress, if its engine is
+    /// silent.
+    fn relieve_silent(&mut self, flights: &mut Flights) {
+        let awaited = self.awaited();
+        let Some(flight) = flights.only() else {
+            return;
+        };
+        let silent = Silent {
+            reservation: flight.reservation.clone(),
+            since: flight.started,
+            awaited,
+            reported: Arc::clone(&flight.silence_reported),
+        };
+        if let Some(flight) = self.send_beside(&silent) {
+            flights.push(flight);
+        }
+    }
+
+    /// Sends the request to another engine if the one that has it counts as stalled. It keeps the
+    /// request in any case: it may go on, and the other one may fail. `None` if no other engine can
+    /// have the request now.
+    pub fn send_beside(&mut self, silent: &Silent) -> Option<Flight> {
+        let now = clock::now();
+        let lasted = now.saturating_duration_since(silent.since);
+        let engine = &silent.reservation;
+        let is_responsive =
+            lock(&self.state.engines).reported_responsive(engine, MAX_REPORT_AGE, now);
+        let silence = Silence {
+            awaited: silent.awaited,
+            lasted,
+            is_responsive,
+        };
+        if !silence.is_stall() || !self.call.can_send_beside() {
+            return None;
+        }
+        if !silent.reported.swap(true, Ordering::Relaxed) {
+            metrics::count(&self.state.metrics.attempts, "silent");
+            self.trace_event(
+                "silent",
+                format_args!("engine={} silent_ms={}", engine.id, lasted.as_millis()),
+            );
+            if lock(&self.state.engines).record_silence(engine, now) {
+                self.state.report_ejection(&engine.id, "silent");
+            }
+        }
+        if self.is_probe || self.remaining() < MIN_REMAINING {
+            return None;
+        }
+        let is_spare = self.state.has_spare_retry(&self.service);
+        if !is_spare || self.check_quarantine().is_err() || self.is_probe {
+            return None;
+        }
+        let choice = self.choose_engine().ok()?;
+        if !self.state.take_retry(&self.service) {
+            drop(Permit::new(&self.state, choice.reservation));
+            return None;
         }
+        Some(self.send(&choice, CallEvent::SendBeside))
     }
 
     /// Records a failed attempt; returns the problem to respond with if it is not retried.
@@ -354,16 +351,16 @@
         self.trace_event("missed", format_args!("engine={engine} reason={failure}"));
         let (event, problem) = match failure {
             Failure::Unsent(_) => (
-                Event::Unsent,
+                CallEvent::Unsent,
                 Problem::unavailable("unreachable", RETRY_AFTER),
             ),
             Failure::NotExecuted(_) => (
-                Event::NotRun,
+                CallEvent::NotRun,
                 Problem::unavailable("engine_full", RETRY_AFTER),
             ),
-            Failure::Lost(_) => (Event::Lost, Problem::bad_gateway("answer_lost")),
-            Failure::Timeout => (Event::Lost, Problem::bad_gateway("silent")),
-            Failure::Withdrawn => (Event::Lost, Problem::bad_gateway("old_version")),
+            Failure::Lost(_) => (CallEvent::Lost, Problem::bad_gateway("answer_lost")),
+            Failure::Timeout => (CallEvent::Lost, Problem::bad_gateway("silent")),
+            Failure::Withdrawn => (CallEvent::Lost, Problem::bad_gateway("old_version")),
         };
         self.call.handle(event);
         problem
@@ -380,6 +377,9 @@
             Action::Fail => return Err(self.final_problem(problem)),
             Action::Retry | Action::Resume(_) => {}
         }
+        if self.remaining() < MIN_REMAINING {
+            return Err(self.deadline_problem());
+        }
         if self.call.sends() > 0 && !self.state.take_retry(&self.service) {
             self.trace_event("no_repeat", format_args!("reason=budget"));
             return Err(self.final_problem(problem));
@@ -411,35 +411,19 @@
         Problem::bad_gateway(refusal.reason())
     }
 
-    /// Resumes a broken stream at another engine, if that is possible.
-    pub async fn resume(&mut self, reason: &'static str) -> Option<Response> {
-        self.call.handle(Event::Lost);
-        self.trace_event(
-            "stream_broke",
-            format_args!("reason={reason} last={:?}", self.call.last_event_id()),
-        );
-        let resumed = match self.authorize_retry(Problem::bad_gateway(reason)) {
-            Ok(()) => self.send().await,
-            Err(problem) => Err(problem),
-        };
-        match resumed {
-            Ok(response) => {
-                self.state.metrics.resumed.inc();
-                Some(response)
-            }
-            Err(problem) => {
-                let (sends, reason) = (self.call.sends(), problem.reason);
-                self.trace_event(
-                    "not_resumed",
-                    format_args!("sends={sends} reason={reason}"),
-                );
-                None
-            }
-        }
+    /// Sends a broken stream to another engine, to go on after the last event that the caller has.
+    pub async fn resume(&mut self, problem: Problem) -> Result<Flight, Problem> {
+        self.authorize_retry(problem)?;
+        self.start_attempt().await
     }
 
-    /// Takes a retry after an engine's own error response; false if none is allowed.
-    pub fn take_error_retry(&mut self) -> bool {
+    /// Takes a retry after an engine's own error response; false if none is allowed. If another attempt
+    /// is in progress, it is the retry.
+    pub fn take_error_retry(&mut self, is_in_progress: bool) -> bool {
+        if is_in_progress {
+            self.call.handle(CallEvent::Lost);
+            return true;
+        }
         let is_last = self.is_probe || self.call.sends() >= self.route.max_attempts;
         if is_last || !self.route.kind.retryable() {
             return false;
@@ -447,22 +431,7 @@
         if !self.state.take_retry(&self.service) {
             return false;
         }
-        self.call.handle(Event::Lost);
+        self.call.handle(CallEvent::Lost);
         true
     }
-
-    /// Whether the caller already has this event; an engine that resumes a stream may repeat some.
-    pub fn is_duplicate(&self, event: &sse::Event) -> bool {
-        let (Some(id), Some(last)) = (event.id, self.call.last_event_id()) else {
-            return false;
-        };
-        id <= last
-    }
-
-    /// Whether another engine could take over if the current attempt were abandoned.
-    pub fn can_fail_over(&self) -> bool {
-        let kind = self.route.kind;
-        let resumable = !self.call.response_started() || self.call.last_event_id().is_some();
-        kind.retryable() && resumable && self.call.sends() < self.route.max_attempts
-    }
 }
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -1,13 +1,16 @@
 //! Entry host on the users' platform: an HTTP proxy that sends callers' requests to engines.
 //!
-//! `listener` accepts connections, `relay` handles requests, and `exchange` sends them to engines
-//! through `upstream`; `attempt` finds out whether an engine crashed on one. `watch` follows the platform's store, and `records` applies what it says;
+//! `listener` accepts connections, `relay` handles requests, and `exchange` sends them to engines that
+//! `acquire` chooses, through `flight` and `upstream`; `attempt` finds out whether an engine crashed
+//! on one. `watch` follows the platform's store, and `records` applies what it says;
 //! `gossip` and `peers` communicate with the other processes. `quarantine` keeps requests from
 //! engines that their prompts would crash.
 
+mod acquire;
 mod attempt;
 mod body;
 mod exchange;
+mod flight;
 mod gossip;
 mod listener;
 mod metrics;
@@ -18,6 +21,7 @@
 mod quarantine;
 mod records;
 mod relay;
+mod retries;
 mod state;
 mod stream;
 mod trace;
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -3,23 +3,23 @@
 use {
     crate::{
         front::{
-            body::{Body, full},
+            body::Body,
             exchange::Exchange,
+            flight::{Answer, Flights, build_response},
             problem::Problem,
             state::State,
             stream::Stream,
             trace::Trace,
-            upstream::{self, Failure},
         },
         metrics,
     },
     bytes::Bytes,
-    http::{HeaderMap, Request, Response, StatusCode, header, request::Parts},
+    http::{Request, Response, StatusCode, header, request::Parts},
     hyper::body::Incoming,
     jayspread_core::{
         call::Call,
         catalog::{Catalog, Organisation, Route},
-        outlier::Outcome,
+        id::Engine,
         quarantine::{self, Part},
     },
     jayspread_net::{body, clock},
@@ -28,15 +28,12 @@
         sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
     },
-    tokio::time,
 };
 
 /// Retry delay suggested to callers while no configuration is known.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry delay suggested to callers during shutdown; another host can serve them at once.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Maximum body size of a plain response.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// Handles a caller's request.
 pub async fn serve(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
@@ -141,7 +138,6 @@
         arrived,
         deadline,
         call,
-        begin_by: None,
         tried: Vec::new(),
         prompt_parts: prompt_parts.into(),
         is_probe: false,
@@ -212,21 +208,21 @@
 
 impl Exchange {
     async fn run(mut self) -> Response<Body> {
-        let result = if self.route.kind.is_stream() {
-            match self.start_stream().await {
-                Ok(Started::Stream(stream)) => return self.stream(*stream),
-                Ok(Started::Error(response)) => {
-                    let status = response.status().as_u16();
-                    self.complete("answered", format_args!("status={status}"));
-                    Ok(response)
-                }
-                Err(problem) => Err(problem),
+        match self.obtain().await {
+            Ok((_, Answer::Stream(stream))) => self.stream(*stream),
+            Ok((engine, Answer::Whole(response))) => {
+                let elapsed = self.elapsed();
+                self.state.metrics.first_byte.observe(elapsed.as_secs_f64());
+                let status = response.status().as_u16();
+                self.complete(
+                    "answered",
+                    format_args!(
+                        "engine={engine} status={status} took_ms={}",
+                        elapsed.as_millis()
+                    ),
+                );
+                response
             }
-        } else {
-            self.plain().await
-        };
-        match result {
-            Ok(response) => response,
             Err(problem) => {
                 self.fail(problem.reason);
                 problem.into_response(Some(&self.request.id))
@@ -234,146 +230,56 @@
         }
     }
 
-    /// Handles a request with a plain response. The response is buffered completely before it is
-    /// relayed, so that a broken one can be retried or reported as an error.
-    async fn plain(&mut self) -> Result<Response<Body>, Problem> {
-        let mut fallback: Option<(Response<Body>, u16)> = None;
-        loop {
-            let mut upstream = match self.send().await {
-                Ok(upstream) => upstream,
-                Err(problem) => {
-                    let Some((response, status)) = fallback else {
-                        return Err(problem);
-                    };
-                    self.complete("answered", format_args!("status={status} after=retry"));
-                    return Ok(response);
-                }
-            };
-            let deadline = self.timeout().deadline;
-            let received = time::timeout_at(
-                deadline.into(),
-                upstream.attempt.channel.receive_body(MAX_RESPONSE_BYTES),
-            )
-            .await;
-            let body = match received {
-                Ok(Ok(body)) => body,
-                Ok(Err(cause)) => {
-                    let attempt = &mut upstream.attempt;
-                    attempt.record_failure(cause.kind(), 0);
-                    let failure = Failure::Lost(cause.kind());
-                    let problem = self.record_failure(failure, &attempt.permit.reservation.id);
-                    self.authorize_retry(problem)?;
-                    continue;
-                }
-                Err(_) => {
-                    let permit = &mut upstream.attempt.permit;
-                    permit.set_outcome(Outcome::Failure, "silent");
-                    let problem = self.record_failure(Failure::Timeout, &permit.reservation.id);
-                    self.authorize_retry(problem)?;
-                    continue;
-                }
-            };
-            let status = upstream.head.status;
-            upstream
-                .attempt
-                .permit
-                .set_outcome(Outcome::Success, "answered");
-            if status.is_success() {
-                upstream.attempt.record_answer();
-            }
-            let response = build_response(status, upstream.head.headers.clone(), full(body));
-            upstream.attempt.close();
-            metrics::count(&self.state.metrics.attempts, "answered");
-            if status.is_server_error() && fallback.is_none() && self.take_error_retry() {
-                fallback = Some((response, status.as_u16()));
-                continue;
-            }
-            let elapsed = self.elapsed();
-            self.state.metrics.first_byte.observe(elapsed.as_secs_f64());
-            self.complete(
-                "answered",
-                format_args!("status={} took_ms={}", status.as_u16(), elapsed.as_millis()),
-            );
-            return Ok(response);
-        }
-    }
-
-    /// Sends the request until an engine has streamed its first complete event or has responded
-    /// with an error of its own.
-    async fn start_stream(&mut self) -> Result<Started, Problem> {
+    /// Sends the request until an engine has answered: with a whole response, or with the first event
+    /// of a stream. While an engine is silent, another one may get the request beside it.
+    async fn obtain(&mut self) -> Result<(Engine, Answer), Problem> {
+        let mut flights = Flights::default();
         let mut fallback = None;
         loop {
-            let upstream = match self.send().await {
-                Ok(upstream) => upstream,
-                Err(problem) => return fallback.map(Started::Error).ok_or(problem),
-            };
-            let engine = upstream.attempt.permit.reservation.id.clone();
-            if !upstream.head.status.is_success() {
-                let error = self.error_response(upstream).await?;
-                if fallback.is_some() || !self.take_error_retry() {
-                    return Ok(Started::Error(error));
+            if flights.is_empty() {
+                match self.start_attempt().await {
+                    Ok(flight) => flights.push(flight),
+                    Err(problem) => return fallback.ok_or(problem),
                 }
-                fallback = Some(error);
-                continue;
             }
-            match Stream::begin(upstream, self).await {
-                Ok(stream) => return Ok(Started::Stream(Box::new(stream))),
+            let (engine, result) = self.next_result(&mut flights).await;
+            match result {
+                Ok(answer) => {
+                    metrics::count(&self.state.metrics.attempts, "answered");
+                    let Some(status) = answer.server_error().filter(|_| fallback.is_none()) else {
+                        return Ok((engine, answer));
+                    };
+                    if !self.take_error_retry(!flights.is_empty()) {
+                        return Ok((engine, answer));
+                    }
+                    self.trace_event(
+                        "engine_error",
+                        format_args!("engine={engine} status={}", status.as_u16()),
+                    );
+                    fallback = Some((engine, answer));
+                }
                 Err(failure) => {
                     let problem = self.record_failure(failure, &engine);
-                    self.authorize_retry(problem)?;
+                    if flights.is_empty()
+                        && let Err(problem) = self.authorize_retry(problem)
+                    {
+                        return fallback.ok_or(problem);
+                    }
                 }
             }
         }
     }
 
-    /// Reads an engine's own error response on a streaming route.
-    async fn error_response(
-        &mut self,
-        mut upstream: upstream::Response,
-    ) -> Result<Response<Body>, Problem> {
-        let attempt = &mut upstream.attempt;
-        let reading = attempt.channel.receive_body(MAX_RESPONSE_BYTES);
-        let Ok(Ok(body)) = time::timeout_at(self.deadline.into(), reading).await else {
-            attempt.record_failure("failure_cut_off", 0);
-            let engine = &attempt.permit.reservation.id;
-            return Err(self.record_failure(Failure::Lost("failure_cut_off"), engine));
-        };
-        attempt.permit.set_outcome(Outcome::Success, "answered");
-        let response = build_response(
-            upstream.head.status,
-            upstream.head.headers.clone(),
-            full(body),
-        );
-        upstream.attempt.close();
-        Ok(response)
-    }
-
     /// Starts relaying a stream to the caller.
     fn stream(mut self, stream: Stream) -> Response<Body> {
         let elapsed = self.elapsed();
         self.state.metrics.first_byte.observe(elapsed.as_secs_f64());
         self.trace_event(
             "first_event",
-            format_args!("took_ms={}", elapsed.as_millis()),
+            format_args!("engine={} took_ms={}", stream.engine(), elapsed.as_millis()),
         );
         let head = stream.head();
         let (status, headers) = (head.status, head.headers.clone());
         build_response(status, headers, stream.into_body(self))
     }
 }
-
-/// Start of the response on a streaming route.
-enum Started {
-    Stream(Box<Stream>),
-    /// An engine's own error response.
-    Error(Response<Body>),
-}
-
-/// Builds the response to the caller from an engine's status, headers and body.
-fn build_response(status: StatusCode, mut headers: HeaderMap, body: Body) -> Response<Body> {
-    wire::strip_connection_headers(&mut headers);
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
-}
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -136,7 +136,7 @@
     /// Model versions that the operator has requested.
     pub targets: Mutex<Targets>,
     /// Retry budgets by service.
-    pub retry_budgets: Mutex<BTreeMap<Box<str>, Budget>>,
+    pub(super) retry_budgets: Mutex<BTreeMap<Box<str>, Budget>>,
     /// Longest timeout that callers of each route have asked for, by route name.
     longest_timeouts: Mutex<BTreeMap<Box<str>, Duration>>,
     /// Time at which all engines of a service were last busy for a first try, by service.
@@ -348,42 +348,6 @@
         last.is_some_and(|at| clock::now().saturating_duration_since(*at) < SATURATION_PERIOD)
     }
 
-    /// Adds a caller's request to the retry budget of a service.
-    pub fn count_request(&self, service: &str) {
-        let now = clock::now();
-        let mut budgets = lock(&self.retry_budgets);
-        self.retry_budget(&mut budgets, service).record_request(now);
-    }
-
-    /// Takes one retry from the budget of a service; false if the budget is exhausted.
-    pub fn take_retry(&self, service: &str) -> bool {
-        let hosts = self.host_count();
-        let now = clock::now();
-        let mut budgets = lock(&self.retry_budgets);
-        let taken = self
-            .retry_budget(&mut budgets, service)
-            .try_take(hosts, now);
-        if taken {
-            self.metrics.retries.inc();
-        }
-        taken
-    }
-
-    fn retry_budget<'a>(
-        &self,
-        budgets: &'a mut BTreeMap<Box<str>, Budget>,
-        service: &str,
-    ) -> &'a mut Budget {
-        let bounds = &self.settings.bounds;
-        budgets.entry(service.into()).or_insert_with(|| {
-            Budget::new(
-                bounds.retry_window,
-                bounds.retry_ratio,
-                bounds.retry_allowance,
-            )
-        })
-    }
-
     /// Counts and logs that an engine was ejected from load balancing.
     pub fn report_ejection(&self, engine: &str, reason: &str) {
         self.metrics.ejected_engines.inc();
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -1,37 +1,61 @@
-//! Streamed responses: complete events are relayed as they arrive. A stream that breaks or stalls
-//! is resumed at another engine after the last event that the caller has received.
+//! Streamed responses: complete events are relayed as they arrive. A stream that breaks is resumed
+//! at another engine after the last event that the caller has received; one that is silent goes on
+//! beside the other engine until that one sends an event.
 
 use {
     crate::front::{
         body::{Aborted, Body, Source, streaming},
-        exchange::Exchange,
+        exchange::{Exchange, Silent},
+        flight::{Answer, Flights},
+        problem::Problem,
         quarantine::MAX_EVENTS_BEFORE_CRASH,
         upstream::{Failure, Response},
     },
     bytes::{Bytes, BytesMut},
     jayspread_core::{
         call::Event as CallEvent,
+        id::Engine,
         outlier::Outcome,
+        silence::Awaited,
         sse::{Event, Splitter},
     },
     jayspread_net::{channel::Head, clock},
-    std::time::{Duration, Instant},
+    std::{
+        sync::{Arc, atomic::AtomicBool},
+        time::{Duration, Instant},
+    },
     tokio::time,
 };
 
-/// Interval between checks whether a silent stream has stalled.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Target for the pause between two events if the route has none.
 const DEFAULT_GAP_TARGET: Duration = Duration::from_millis(500);
 
+/// What a stream must be like to be relayed.
+#[derive(Debug)]
+pub struct Expected {
+    /// Id of the last event that the caller has.
+    pub last_event_id: Option<u64>,
+    /// Whether the stream may end before its first event: the caller may have all of them.
+    pub may_be_empty: bool,
+    /// Time by which the response must be complete.
+    pub deadline: Instant,
+    /// Time by which the engine must begin, if its version is an old one.
+    pub begin_by: Option<Instant>,
+    /// Whether the engine's silence has been recorded.
+    pub silence_reported: Arc<AtomicBool>,
+}
+
 /// Event stream of one engine.
 pub struct Stream {
     response: Response,
+    expected: Expected,
     splitter: Splitter,
-    /// First event, received before the response to the caller began.
+    /// First event that the caller does not have, received before the stream is relayed.
     first_event: Option<Event>,
     /// Number of events that the engine has sent.
     event_count: u32,
+    /// Whether the engine has ended the stream.
+    has_ended: bool,
 }
 
 /// Result of reading from a stream.
@@ -45,23 +69,28 @@
 }
 
 impl Stream {
-    /// Reads up to the first complete event.
-    pub async fn begin(response: Response, exchange: &Exchange) -> Result<Self, Failure> {
+    /// Reads up to the first complete event that the caller does not have.
+    pub async fn begin(response: Response, expected: Expected) -> Result<Self, Failure> {
         let mut stream = Self {
             response,
+            expected,
             splitter: Splitter::default(),
             first_event: None,
             event_count: 0,
+            has_ended: false,
         };
-        let latency_target = exchange.route.latency_target;
+        let last_event_id = stream.expected.last_event_id;
         loop {
-            match stream.next_event(exchange, latency_target).await {
-                Next::Event(event) if exchange.is_duplicate(&event) => {}
+            match stream.next_event().await {
+                Next::Event(event) if is_duplicate(&event, last_event_id) => {}
                 Next::Event(event) => {
                     stream.first_event = Some(event);
                     return Ok(stream);
                 }
-                Next::End if exchange.request.last_event_id.is_some() => return Ok(stream),
+                Next::End if stream.expected.may_be_empty => {
+                    stream.has_ended = true;
+                    return Ok(stream);
+                }
                 Next::End => return Err(stream.fail("empty")),
                 Next::Broken(reason) => return Err(stream.fail(reason)),
                 Next::Withdrawn => return Err(Failure::Withdrawn),
@@ -82,6 +111,11 @@
         &self.response.head
     }
 
+    /// Id of the engine.
+    pub fn engine(&self) -> &Engine {
+        &self.response.attempt.permit.reservation.id
+    }
+
     /// Removes and returns the next complete event that was received.
     fn take_event(&mut self) -> Option<Event> {
         let event = self.splitter.next_event()?;
@@ -98,27 +132,26 @@
         self.event_count == 0 && !self.response.attempt.channel.is_clean()
     }
 
-    /// Waits for the next event; `target` is the intended maximum wait.
-    async fn next_event(&mut self, exchange: &Exchange, target: Duration) -> Next {
-        let since = clock::now();
+    /// Waits for the next event. Can be dropped and called again without losing any.
+    async fn next_event(&mut self) -> Next {
+        if self.has_ended {
+            return Next::End;
+        }
         loop {
             if let Some(event) = self.take_event() {
                 return Next::Event(event);
             }
-            // Checked before each read: an engine that sends a byte now and then has stalled too.
+            // Checked before each read: an engine that sends a byte now and then must not go on for ever.
             let now = clock::now();
-            if now >= exchange.deadline {
+            if now >= self.expected.deadline {
                 return Next::Deadline;
             }
-            if exchange.can_fail_over() && self.response.attempt.permit.is_stalled(since, target) {
-                return Next::Broken("stalled");
-            }
-            let begin_by = exchange.begin_by.filter(|_| self.event_count == 0);
+            let begin_by = self.expected.begin_by.filter(|_| self.event_count == 0);
             if begin_by.is_some_and(|at| now >= at) {
                 return Next::Withdrawn;
             }
-            let wake_at = (now + CHECK_INTERVAL).min(exchange.deadline);
-            let wake_at = begin_by.map_or(wake_at, |at| at.min(wake_at));
+            let wake_at = begin_by.unwrap_or(self.expected.deadline);
+            let wake_at = wake_at.min(self.expected.deadline);
             match time::timeout_at(wake_at.into(), self.response.attempt.channel.receive_data())
                 .await
             {
@@ -141,6 +174,8 @@
         let first_event = self.first_event.take();
         let mut relay = Relay {
             stream: Some(self),
+            flights: Flights::default(),
+            is_complete: false,
             exchange,
             last_event_at: clock::now(),
             longest_pause: Duration::ZERO,
@@ -151,16 +186,35 @@
     }
 }
 
+/// Whether the caller already has this event; an engine that resumes a stream may repeat some.
+fn is_duplicate(event: &Event, last_event_id: Option<u64>) -> bool {
+    event
+        .id
+        .zip(last_event_id)
+        .is_some_and(|(id, last)| id <= last)
+}
+
 /// A streamed response in progress.
 struct Relay {
-    /// Current stream; `None` once the body has ended.
+    /// Stream that is relayed; `None` while another engine is to resume it.
     stream: Option<Stream>,
+    /// Attempts to resume it at other engines.
+    flights: Flights,
+    /// Whether the caller has everything.
+    is_complete: bool,
     exchange: Exchange,
     last_event_at: Instant,
     longest_pause: Duration,
     event_count: u32,
 }
 
+/// What a streamed response waits for.
+enum Progress {
+    Stream(Next),
+    Flight(Engine, Result<Answer, Failure>),
+    Silence,
+}
+
 impl Relay {
     /// Records an event and returns the bytes to send to the caller.
     fn relay_event(&mut self, event: Event) -> Bytes {
@@ -175,7 +229,20 @@
         event.bytes
     }
 
+    /// Relays an event and all complete ones that were received after it.
+    fn relay_received(&mut self, event: Event) -> Bytes {
+        let mut bytes = BytesMut::from(&self.relay_event(event)[..]);
+        while let Some(event) = self.stream.as_mut().and_then(Stream::take_event) {
+            if !is_duplicate(&event, self.exchange.call.last_event_id()) {
+                bytes.extend_from_slice(&self.relay_event(event));
+            }
+        }
+        bytes.freeze()
+    }
+
     fn finish(&mut self, stream: Stream) {
+        self.is_complete = true;
+        self.flights.clear();
         let mut attempt = stream.response.attempt;
         attempt.permit.set_outcome(Outcome::Success, "answered");
         attempt.record_answer();
@@ -193,71 +260,179 @@
         );
     }
 
-    fn abort(&mut self, reason: &'static str) -> Option<Result<Bytes, Aborted>> {
+    fn abort(&mut self, reason: &'static str) -> Aborted {
         self.exchange.fail(reason);
-        Some(Err(Aborted))
+        Aborted
     }
 
-    /// Resumes the stream at another engine.
-    async fn resume(&mut self, broken: Stream, reason: &'static str) -> Result<(), Aborted> {
-        drop(broken);
-        let silent_ms = clock::now()
-            .saturating_duration_since(self.last_event_at)
-            .as_millis();
-        self.exchange
-            .trace_event("silence", format_args!("silent_ms={silent_ms}"));
-        let Some(response) = self.exchange.resume(reason).await else {
-            return Err(Aborted);
+    /// Waits for the next event of the stream, the next result of another attempt, or a check for
+    /// silence. What has arrived counts, however late this host looks for it.
+    async fn progress(&mut self) -> Progress {
+        let since = self.last_event_at;
+        let awaited = self.awaited();
+        let Self {
+            stream,
+            flights,
+            exchange,
+            ..
+        } = self;
+        match stream {
+            Some(stream) if flights.is_empty() => tokio::select! {
+                biased;
+                next = stream.next_event() => Progress::Stream(next),
+                () = exchange.silence_check(since, awaited) => Progress::Silence,
+            },
+            Some(stream) => tokio::select! {
+                biased;
+                next = stream.next_event() => Progress::Stream(next),
+                (engine, result) = flights.next() => Progress::Flight(engine, result),
+            },
+            None => {
+                let (engine, result) = exchange.next_result(flights).await;
+                Progress::Flight(engine, result)
+            }
+        }
+    }
+
+    /// What is awaited of the engine that streams.
+    fn awaited(&self) -> Awaited {
+        let gap_target = self.exchange.route.gap_target;
+        Awaited::Event(gap_target.unwrap_or(DEFAULT_GAP_TARGET))
+    }
+
+    /// Sends the request to another engine beside the one that is silent.
+    fn relieve_silent(&mut self) {
+        let Some(stream) = &self.stream else {
+            return;
+        };
+        let silent = Silent {
+            reservation: stream.response.attempt.permit.reservation.clone(),
+            since: self.last_event_at,
+            awaited: self.awaited(),
+            reported: Arc::clone(&stream.expected.silence_reported),
         };
-        if !response.head.status.is_success() {
-            return Err(Aborted);
+        if let Some(flight) = self.exchange.send_beside(&silent) {
+            self.flights.push(flight);
         }
-        self.stream = Some(Stream {
-            response,
-            splitter: Splitter::default(),
-            first_event: None,
-            event_count: 0,
-        });
-        Ok(())
+    }
+
+    /// Goes on without the stream, which has ended too early.
+    async fn lose_stream(&mut self, reason: &'static str) -> Result<(), Aborted> {
+        let silent = clock::now().saturating_duration_since(self.last_event_at);
+        self.stream = None;
+        self.exchange.call.handle(CallEvent::Lost);
+        let last = self.exchange.call.last_event_id();
+        self.exchange.trace_event(
+            "stream_broke",
+            format_args!(
+                "reason={reason} last={last:?} silent_ms={}",
+                silent.as_millis()
+            ),
+        );
+        self.resume_unless_in_progress(reason).await
+    }
+
+    /// Starts an attempt to resume the stream, unless there is one already.
+    async fn resume_unless_in_progress(&mut self, reason: &'static str) -> Result<(), Aborted> {
+        if !self.flights.is_empty() {
+            return Ok(());
+        }
+        match self.exchange.resume(Problem::bad_gateway(reason)).await {
+            Ok(flight) => {
+                self.flights.push(flight);
+                Ok(())
+            }
+            Err(problem) => {
+                let (sends, cause) = (self.exchange.call.sends(), problem.reason);
+                self.exchange
+                    .trace_event("not_resumed", format_args!("sends={sends} reason={cause}"));
+                Err(self.abort(reason))
+            }
+        }
+    }
+
+    /// Handles the result of an attempt to resume the stream.
+    async fn handle_flight(
+        &mut self,
+        engine: &Engine,
+        result: Result<Answer, Failure>,
+    ) -> Result<Option<Bytes>, Aborted> {
+        let failure = match result {
+            Ok(Answer::Stream(stream)) => return Ok(self.switch_to(*stream)),
+            Ok(Answer::Whole(response)) => {
+                let status = response.status().as_u16();
+                self.exchange.trace_event(
+                    "engine_error",
+                    format_args!("engine={engine} status={status}"),
+                );
+                Failure::Lost("error_instead_of_stream")
+            }
+            Err(failure) => failure,
+        };
+        let problem = self.exchange.record_failure(failure, engine);
+        if self.stream.is_none() {
+            self.resume_unless_in_progress(problem.reason).await?;
+        }
+        Ok(None)
+    }
+
+    /// Relays another engine's stream from now on.
+    fn switch_to(&mut self, mut stream: Stream) -> Option<Bytes> {
+        self.flights.clear();
+        self.exchange.state.metrics.resumed.inc();
+        let last = self.exchange.call.last_event_id();
+        let engine = stream.engine();
+        self.exchange
+            .trace_event("resumed", format_args!("engine={engine} last={last:?}"));
+        let first_event = stream.first_event.take();
+        self.stream = Some(stream);
+        first_event.map(|event| self.relay_received(event))
     }
 }
 
 impl Source for Relay {
     async fn next(&mut self) -> Option<Result<Bytes, Aborted>> {
-        let gap_target = self.exchange.route.gap_target.unwrap_or(DEFAULT_GAP_TARGET);
+        if self.is_complete {
+            return None;
+        }
         loop {
-            let mut stream = self.stream.take()?;
-            match stream.next_event(&self.exchange, gap_target).await {
-                Next::Event(event) if self.exchange.is_duplicate(&event) => {
-                    self.stream = Some(stream)
+            let result = match self.progress().await {
+                Progress::Silence => {
+                    self.relieve_silent();
+                    Ok(())
                 }
-                Next::Event(event) => {
-                    let mut bytes = BytesMut::from(&self.relay_event(event)[..]);
-                    while let Some(event) = stream.take_event() {
-                        if !self.exchange.is_duplicate(&event) {
-                            bytes.extend_from_slice(&self.relay_event(event));
-                        }
+                Progress::Flight(engine, result) => {
+                    match self.handle_flight(&engine, result).await {
+                        Ok(Some(bytes)) => return Some(Ok(bytes)),
+                        Ok(None) => Ok(()),
+                        Err(aborted) => Err(aborted),
+                    }
+                }
+                Progress::Stream(Next::Event(event)) => {
+                    if is_duplicate(&event, self.exchange.call.last_event_id()) {
+                        continue;
                     }
-                    self.stream = Some(stream);
-                    return Some(Ok(bytes.freeze()));
+                    self.flights.clear();
+                    return Some(Ok(self.relay_received(event)));
                 }
-                Next::End => {
+                Progress::Stream(Next::End) => {
+                    let mut stream = self.stream.take()?;
                     let comments = stream.splitter.take_comments();
                     self.finish(stream);
                     return (!comments.is_empty()).then_some(Ok(comments));
                 }
-                Next::Deadline => return self.abort("deadline"),
-                Next::Withdrawn => {
-                    if self.resume(stream, "old_version").await.is_err() {
-                        return self.abort("old_version");
-                    }
-                }
-                Next::Broken(reason) => {
-                    stream.fail(reason);
-                    if self.resume(stream, reason).await.is_err() {
-                        return self.abort(reason);
+                Progress::Stream(Next::Deadline) => Err(self.abort("deadline")),
+                Progress::Stream(Next::Withdrawn) => self.lose_stream("old_version").await,
+                Progress::Stream(Next::Broken(reason)) => {
+                    if let Some(stream) = &mut self.stream {
+                        stream.fail(reason);
                     }
+                    self.lose_stream(reason).await
                 }
+            };
+            if let Err(aborted) = result {
+                self.is_complete = true;
+                return Some(Err(aborted));
             }
         }
     }
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -8,6 +8,7 @@
         },
         shared::lock,
     },
+    bytes::Bytes,
     jayspread_core::{
         catalog::Kind, outlier::Outcome, placement::Reservation, quarantine::Finding,
     },
@@ -18,7 +19,10 @@
     jayspread_platform::header as wire,
     std::{
         fmt,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::time,
@@ -29,15 +33,6 @@
 /// Maximum idle time of a connection that is reused for a non-idempotent request. The longer it was
 /// idle, the likelier the engine is closing it, and then it is unknown whether the request ran.
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(100);
-/// Interval between checks whether a silent engine has stalled.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum age of an agent's report that its engine is responsive.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(700);
-/// Silence after which an engine counts as stalled, as a multiple of the latency target.
-const STALL_FACTOR: f64 = 1.5;
-/// The same multiple for an engine that its agent reports as responsive: it is busy rather than
-/// gone.
-const RESPONSIVE_STALL_FACTOR: f64 = 4.0;
 /// Maximum size of a response body that is read and discarded to keep the connection usable.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// Time for which the body of a refusal is awaited to keep the connection usable.
@@ -93,6 +88,7 @@
     /// Time at which the request was sent.
     sent_at: Instant,
     outcome: Option<(Outcome, &'static str)>,
+    silence_reported: Arc<AtomicBool>,
 }
 
 impl Permit {
@@ -103,9 +99,16 @@
             reservation,
             sent_at: clock::now(),
             outcome: None,
+            silence_reported: Arc::default(),
         }
     }
 
+    /// Flag to set when the engine's silence has been recorded as a failure; it is not recorded again
+    /// then.
+    pub fn silence_reported(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.silence_reported)
+    }
+
     /// Shared state of the process.
     pub fn state(&self) -> &Arc<State> {
         &self.state
@@ -155,25 +158,13 @@
             );
         }
     }
-
-    /// Whether an engine that has sent nothing since `since` counts as stalled; one that its agent
-    /// reports as responsive gets more time.
-    pub fn is_stalled(&self, since: Instant, target: Duration) -> bool {
-        let now = clock::now();
-        let is_responsive =
-            lock(&self.state.engines).reported_responsive(&self.reservation, MAX_REPORT_AGE, now);
-        let factor = if is_responsive {
-            RESPONSIVE_STALL_FACTOR
-        } else {
-            STALL_FACTOR
-        };
-        now.saturating_duration_since(since) > target.mul_f64(factor)
-    }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        let is_recorded = self.silence_reported.load(Ordering::Relaxed);
         let outcome = self.outcome.map(|(outcome, _)| outcome);
+        let outcome = outcome.filter(|outcome| !is_recorded || *outcome != Outcome::Failure);
         let ejected = lock(&self.state.engines).release(&self.reservation, outcome, clock::now());
         if let (true, Some((_, reason))) = (ejected, self.outcome) {
             self.state.report_ejection(&self.reservation.id, reason);
@@ -181,22 +172,24 @@
     }
 }
 
-/// Limits on the wait for a response.
-#[derive(Debug, Clone, Copy)]
-pub struct Timeout {
-    /// Time at which the wait ends.
+/// A request to one engine.
+pub struct Request {
+    /// Request head as sent.
+    pub head: Vec<u8>,
+    /// Complete request body.
+    pub body: Bytes,
+    /// What is recorded of the attempt.
+    pub subject: Subject,
+    /// Whether and how the request may be repeated.
+    pub kind: Kind,
+    /// Time at which the wait for the response ends.
     pub deadline: Instant,
-    /// The route's latency target, if the wait should also end when the engine stalls because
-    /// another one may get the request.
-    pub stall_target: Option<Duration>,
-    /// Time by which the engine must have begun, if its version is an old one.
-    pub begin_by: Option<Instant>,
 }
 
-impl Timeout {
-    /// Whether the request must not begin any more.
-    pub fn has_to_withdraw(&self, now: Instant) -> bool {
-        self.begin_by.is_some_and(|at| now >= at)
+impl Request {
+    /// Whether the request must not begin any more: the engine's version is an old one.
+    fn has_to_withdraw(&self, now: Instant) -> bool {
+        self.subject.begin_by.is_some_and(|at| now >= at)
     }
 }
 
@@ -210,15 +203,8 @@
 
 impl Response {
     /// Sends a request and waits for the response head.
-    pub async fn request(
-        mut permit: Permit,
-        head: &[u8],
-        body: &[u8],
-        subject: Subject,
-        kind: Kind,
-        timeout: Timeout,
-    ) -> Result<Self, Failure> {
-        let mut channel = match connect(&permit, kind).await {
+    pub async fn request(mut permit: Permit, request: &Request) -> Result<Self, Failure> {
+        let mut channel = match connect(&permit, request.kind).await {
             Ok(channel) => channel,
             Err(cause) => {
                 permit.set_outcome(Outcome::Failure, cause.kind());
@@ -231,15 +217,15 @@
                 return Err(Failure::Unsent(cause.kind()));
             }
         };
-        channel.queue_request(head, body);
-        let request_id = subject.request_id.clone();
-        let mut attempt = Attempt::new(permit, channel, subject);
+        channel.queue_request(&request.head, &request.body);
+        let mut attempt = Attempt::new(permit, channel, request.subject.clone());
         let line = &mut *attempt;
-        let reading = read_head(&mut line.channel, &request_id);
-        let received = wait(&line.permit, reading, timeout).await;
+        let begin_by = request.subject.begin_by.unwrap_or(request.deadline);
+        let reading = read_head(&mut line.channel, &request.subject.request_id);
+        let received = time::timeout_at(request.deadline.min(begin_by).into(), reading).await;
         let (head, metadata) = match received {
-            Some(Ok(received)) => received,
-            Some(Err(cause)) => {
+            Ok(Ok(received)) => received,
+            Ok(Err(cause)) => {
                 line.record_failure(cause.kind(), 0);
                 return Err(if cause.is_unsent() {
                     Failure::Unsent(cause.kind())
@@ -247,8 +233,8 @@
                     Failure::Lost(cause.kind())
                 });
             }
-            None if timeout.has_to_withdraw(clock::now()) => return Err(Failure::Withdrawn),
-            None => {
+            Err(_) if request.has_to_withdraw(clock::now()) => return Err(Failure::Withdrawn),
+            Err(_) => {
                 line.permit.set_outcome(Outcome::Failure, "silent");
                 return Err(Failure::Timeout);
             }
@@ -287,33 +273,6 @@
     }
 }
 
-/// Waits for `response`; returns `None` if the timeout expires, the engine stalls, or the request must
-/// not begin any more.
-async fn wait<T>(
-    permit: &Permit,
-    response: impl Future<Output = T>,
-    timeout: Timeout,
-) -> Option<T> {
-    let since = clock::now();
-    let mut response = std::pin::pin!(response);
-    loop {
-        let mut wake_at = (clock::now() + CHECK_INTERVAL).min(timeout.deadline);
-        if let Some(begin_by) = timeout.begin_by {
-            wake_at = wake_at.min(begin_by);
-        }
-        if let Ok(response) = time::timeout_at(wake_at.into(), response.as_mut()).await {
-            return Some(response);
-        }
-        let stalled = timeout
-            .stall_target
-            .is_some_and(|target| permit.is_stalled(since, target));
-        let now = clock::now();
-        if stalled || now >= timeout.deadline || timeout.has_to_withdraw(now) {
-            return None;
-        }
-    }
-}
-
 async fn connect(permit: &Permit, kind: Kind) -> Result<Channel, Error> {
     let max_idle = match kind {
         Kind::Once | Kind::Stream => MAX_IDLE_NON_IDEMPOTENT,
