A keep-alive timeout of any length is an ordinary response

What callers saw: the connection closed with neither an answer nor a refusal, and no log line, when an engine's answer had `Keep-Alive: timeout=`.

Cause: the announced seconds became a Duration, which was multiplied by a percentage. The product exceeds the largest Duration, and the multiplication panics in the task that serves the caller.

Ruled out: larger numbers and negative ones, which do not parse and leave the default timeout (cases of the same test).

Change: the announced timeout is at most an hour. A connection that has been idle for longer gains nothing, and the product stays far within the range of a Duration.

--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -38,6 +38,8 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle time after which a connection is not reused if the server announces no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest keep-alive timeout taken from a server.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Share of the announced keep-alive timeout during which a connection is reused, percent.
 const KEEP_ALIVE_PERCENT: u32 = 70;
 
@@ -468,12 +470,12 @@
     Received(usize),
 }
 
-/// Idle timeout that the server announces in the `Keep-Alive` header.
+/// Idle timeout that the server announces in the `Keep-Alive` header, at most [`MAX_IDLE_TIMEOUT`].
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let timeout = |item: &str| item.trim().strip_prefix("timeout=")?.parse().ok();
     let seconds: u64 = text.split(',').find_map(timeout)?;
-    Some(Duration::from_secs(seconds))
+    Some(Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT))
 }
 
 /// Disables Nagle's algorithm and sets keepalive and user timeout, so that a dead connection fails.
--- a/crates/net/tests/channel.rs
+++ b/crates/net/tests/channel.rs
@@ -182,6 +182,33 @@
     assert!(!channel.is_reusable(Duration::from_millis(10)));
 }
 
+/// Guards against a panic in the task of the caller's request when a server announces an idle timeout
+/// that no `Duration` arithmetic can hold.
+#[rstest]
+#[case::longest_duration("18446744073709551615", true)]
+#[case::longer_than_any_duration("99999999999999999999", false)]
+#[case::negative("-1", false)]
+#[tokio::test]
+async fn endless_keep_alive_timeout_is_an_ordinary_response(
+    #[case] seconds: &str,
+    #[case] is_longer_than_default: bool,
+) {
+    let response = format!(
+        "HTTP/1.1 200 OK\r\nKeep-Alive: timeout={seconds}\r\nContent-Length: 5\r\n\r\nhello"
+    );
+    let responses = vec![&*response.into_bytes().leak(); 2];
+    let address = server(responses, false).await;
+    let mut channel = Channel::open(address, TIMEOUT).await.expect("connects");
+    channel.queue_request(REQUEST, b"");
+    channel.receive_head().await.expect("response head");
+    let body = channel.receive_body(1 << 16).await.expect("complete body");
+    assert_eq!(&*body, b"hello");
+    assert!(channel.is_reusable(TIMEOUT));
+    // Longer than the idle timeout of a connection whose server announces none.
+    time::sleep(Duration::from_millis(900)).await;
+    assert_eq!(channel.is_reusable(TIMEOUT), is_longer_than_default);
+}
+
 /// The server responds before it has read the whole request body.
 #[tokio::test]
 async fn connection_with_unsent_body_is_not_clean() {
