An engine listed as cold for ever does not end the service

What callers saw: after one entry of the list of engines with a cold_left_ms of 1e22 to 1.8e22, no request was placed any more.

Cause: the time is a valid Duration, but Table::add_listing added it to an Instant, which overflows. The panic happens while the engines are locked; each later use of the lock panics as well, and the task that follows the list ends.

Ruled out: larger and negative values, which no Duration holds and which were refused before.

The new module core::clamp adds a duration to a time without overflow, so that the table itself accepts every listing.

--- /dev/null
+++ b/crates/core/src/clamp.rs
@@ -0,0 +1,11 @@
+//! Arithmetic on durations and times that come from outside this process. It never overflows.
+
+use std::time::{Duration, Instant};
+
+/// Longest duration taken from outside; a longer one counts as this one.
+pub const MAX_DURATION: Duration = Duration::from_secs(24 * 3_600);
+
+/// The time that is `duration`, but at most [`MAX_DURATION`], after `at`.
+pub fn later(at: Instant, duration: Duration) -> Instant {
+    at + duration.min(MAX_DURATION)
+}
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -8,6 +8,7 @@
     crate::{
         audience,
         catalog::Speed,
+        clamp,
         delay::{Delay, Sent},
         id::{self, DataCentre, Engine as Id, Region, Service},
         outlier::Detector,
@@ -177,7 +178,7 @@
 impl Engine {
     /// Creates the state of an engine that is listed for the first time.
     pub fn new(listing: Listing, now: Instant) -> Self {
-        let cold_until = now + listing.cold_remaining;
+        let cold_until = clamp::later(now, listing.cold_remaining);
         Self {
             subject: id::score(b"share", &listing.id),
             listing,
@@ -201,7 +202,8 @@
     /// end; a listing that says otherwise is an older one.
     pub fn update_listing(&mut self, listing: Listing, now: Instant) {
         if !listing.cold_remaining.is_zero() {
-            self.cold_until = self.cold_until.max(now + listing.cold_remaining);
+            let cold_until = clamp::later(now, listing.cold_remaining);
+            self.cold_until = self.cold_until.max(cold_until);
         }
         let draining = self.listing.draining || listing.draining;
         self.listing = Listing {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod chunk;
 pub mod claim;
+pub mod clamp;
 pub mod config;
 pub mod delay;
 pub mod engine;
