The slots of a listed engine stay within bounds

What callers saw: requests failed with a panic in debug builds, and an engine got no requests in release builds, after an entry of the list of engines stated slots.

Cause: the number was taken as it stands, and the queue length was added to it, or it was multiplied by the queue factor. Both overflow while the engines are locked.

The sums in the choice of an engine saturate.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -248,7 +248,7 @@
         }
         self.limit.apply_report(report.limit, sent_at);
         let occupied = report.load.running + report.load.waiting;
-        let free = (self.listing.slots + QUEUE_LENGTH).saturating_sub(occupied);
+        let free = self.capacity().saturating_sub(occupied);
         let max_new = report.max_new.saturating_sub(report.load.waiting);
         self.credit = report.rotation.share(free, max_new);
         self.credit_until = sent_at + report.valid.min(MAX_CREDIT_TIME);
@@ -262,8 +262,13 @@
         if now < self.credit_until {
             return self.credit > 0;
         }
-        let slots = f64::from(self.listing.slots + QUEUE_LENGTH);
-        !self.managed && self.in_flight < self.share(slots, default_place)
+        let capacity = f64::from(self.capacity());
+        !self.managed && self.in_flight < self.share(capacity, default_place)
+    }
+
+    /// Number of requests that may run and queue at the engine.
+    fn capacity(&self) -> u32 {
+        self.listing.slots.saturating_add(QUEUE_LENGTH)
     }
 
     /// This host's share of a limit for all hosts at `place`.
--- a/crates/core/src/placement/choice.rs
+++ b/crates/core/src/placement/choice.rs
@@ -223,7 +223,7 @@
         };
         let has_room = |id: &&Id| {
             let (occupancy, slots) = usage(id);
-            occupancy < slots * (1 + QUEUE_PER_SLOT)
+            occupancy < slots.saturating_mul(1 + QUEUE_PER_SLOT)
         };
         let candidates: Vec<&Id> = suitable.iter().filter(has_room).collect();
         if candidates.is_empty() {
--- a/crates/core/tests/extremes.rs
+++ b/crates/core/tests/extremes.rs
@@ -3,7 +3,7 @@
 mod engines;
 
 use {
-    engines::{Fixture, listing},
+    engines::{Fixture, listing, only_host, report},
     rstest::rstest,
     std::time::Duration,
 };
@@ -23,3 +23,23 @@
     assert!(engine.expect("is listed").is_cold(fixture.now));
     assert!(fixture.choose().is_ok());
 }
+
+/// Guards against an overflow in the choice of an engine when its list entry states more slots than
+/// a sum can hold: a panic in debug builds, and an engine without any room in release builds.
+#[rstest]
+#[case::model_with_reports(true, true)]
+#[case::model_without_reports(true, false)]
+#[case::no_model(false, false)]
+fn engine_with_the_most_slots_gets_requests(#[case] has_model: bool, #[case] is_reported: bool) {
+    let mut fixture = Fixture::new(&[]);
+    if !has_model {
+        fixture.backend.speed = None;
+    }
+    let mut wide = listing("a", 1, "r1");
+    wide.slots = u32::MAX;
+    fixture.table.add_listing(wide, fixture.now);
+    if is_reported {
+        fixture.apply_report(1, report(0, 0, only_host()));
+    }
+    assert_eq!(fixture.choose().as_deref(), Ok("a"));
+}
