A load of any size that an engine states does not overflow

What callers saw: in debug builds, every request failed after an engine's answer or an agent's report stated a load such as running and waiting requests. In release builds the sum wrapped, so that such an engine looked idle and was preferred.

Cause: running and waiting requests, and the requests of this host, were added as u32 while the engines are locked.

Change: the sums in core::engine saturate. An engine that states such a load gets no requests until it states another one or the load is too old to count.

Measured: engine_with_the_highest_load_gets_no_requests failed before with "attempt to add with overflow" in Engine::occupancy (answer) and Engine::apply_report (report); both cases pass now.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -87,6 +87,13 @@
     pub slowdown: f64,
 }
 
+impl Load {
+    /// Number of running and queued requests.
+    fn total(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// Report of an agent on its engine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
@@ -247,8 +254,7 @@
             self.leaving = true;
         }
         self.limit.apply_report(report.limit, sent_at);
-        let occupied = report.load.running + report.load.waiting;
-        let free = self.capacity().saturating_sub(occupied);
+        let free = self.capacity().saturating_sub(report.load.total());
         let max_new = report.max_new.saturating_sub(report.load.waiting);
         self.credit = report.rotation.share(free, max_new);
         self.credit_until = sent_at + report.valid.min(MAX_CREDIT_TIME);
@@ -362,15 +368,18 @@
     /// equally.
     pub fn occupancy(&self, hosts: usize, now: Instant) -> u32 {
         // A single request tells nothing of other hosts: most of them have none there.
-        let extrapolated = self.in_flight + self.in_flight.saturating_sub(1) * hosts.max(1) as u32;
+        let hosts = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
+        let of_others = self.in_flight.saturating_sub(1).saturating_mul(hosts);
+        let extrapolated = self.in_flight.saturating_add(of_others);
         let Some(observation) = self.observation else {
             return extrapolated;
         };
         if now.saturating_duration_since(observation.at) > REPORT_MAX_AGE {
             return extrapolated;
         }
-        let reported = observation.load.running + observation.load.waiting;
-        (reported + self.in_flight)
+        let reported = observation.load.total();
+        reported
+            .saturating_add(self.in_flight)
             .saturating_sub(observation.in_flight)
             .max(self.in_flight)
     }
@@ -383,7 +392,8 @@
         if now.saturating_duration_since(observation.at) > REPORT_MAX_AGE {
             return self.in_flight.min(1);
         }
-        observation.load.waiting + self.in_flight.saturating_sub(observation.in_flight)
+        let sent_since = self.in_flight.saturating_sub(observation.in_flight);
+        observation.load.waiting.saturating_add(sent_since)
     }
 
     fn slowdown(&self) -> f64 {
@@ -441,7 +451,7 @@
         let decoding = occupancy.saturating_sub(queued).min(speed.slots);
         let pass = pass_time(speed, decoding) * self.slowdown();
         let slots = f64::from(speed.slots.max(1));
-        let slots_awaited = f64::from((occupancy + 1).saturating_sub(speed.slots));
+        let slots_awaited = f64::from(occupancy.saturating_add(1).saturating_sub(speed.slots));
         let time_per_slot = slot_time(speed) * self.slowdown() / slots;
         let prompt_tokens = f64::from(queued) * f64::from(speed.mean_prompt) + f64::from(prompt);
         let prefill = prompt_tokens / speed.prefill_rate.max(1.0) * self.slowdown();
--- a/crates/core/tests/extremes.rs
+++ b/crates/core/tests/extremes.rs
@@ -3,7 +3,8 @@
 mod engines;
 
 use {
-    engines::{Fixture, listing, only_host, report},
+    engines::{Fixture, listing, only_host, report, requirements},
+    jayspread_core::engine::Load,
     rstest::rstest,
     std::time::Duration,
 };
@@ -43,3 +44,37 @@
     }
     assert_eq!(fixture.choose().as_deref(), Ok("a"));
 }
+
+/// Guards against an overflow in the choice of an engine when an answer or a report states more
+/// requests than a sum can hold.
+#[rstest]
+#[case::in_an_answer(false)]
+#[case::in_a_report(true)]
+fn engine_with_the_highest_load_gets_no_requests(#[case] is_reported: bool) {
+    let mut fixture = Fixture::new(&[("a", "r1"), ("b", "r1")]);
+    let load = Load {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slowdown: 1.0,
+    };
+    if is_reported {
+        let mut report = report(0, 0, only_host());
+        report.load = load;
+        fixture.apply_report(1, report);
+    } else {
+        fixture.now += Duration::from_millis(400);
+        let requirements = requirements(&fixture.route, &fixture.backend);
+        let choice = (0..100).find_map(|_| {
+            let choice = fixture
+                .table
+                .choose(&requirements, &mut fixture.rng, fixture.now)
+                .ok()?;
+            (&*choice.reservation.id == "a").then_some(choice)
+        });
+        let reservation = choice.expect("is chosen").reservation;
+        fixture.table.observe_load(&reservation, load, fixture.now);
+    }
+    for _ in 0..20 {
+        assert_ne!(fixture.choose().as_deref(), Ok("a"));
+    }
+}
