The predicted time of an engine of any slowness is bounded

What callers saw: every request for a service failed, in release builds too, after an engine stated an extreme slowdown, or a configuration a speed whose product with the number of tokens is longer than any Duration.

Cause: Duration::from_secs_f64 panics on a number that is too large or no number, and the prediction is made while the engines are locked.

This also bounds what is added to the prediction later.

Measured: engine_of_any_slowness_is_compared failed before in all three cases with "cannot convert float seconds to Duration"; they pass now.

--- a/crates/core/src/clamp.rs
+++ b/crates/core/src/clamp.rs
@@ -9,3 +9,13 @@
 pub fn later(at: Instant, duration: Duration) -> Instant {
     at + duration.min(MAX_DURATION)
 }
+
+/// Converts seconds: a negative number to zero, and one above [`MAX_DURATION`], or none at all, to
+/// that.
+pub fn seconds(seconds: f64) -> Duration {
+    if seconds <= 0.0 {
+        return Duration::ZERO;
+    }
+    let duration = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_DURATION);
+    duration.min(MAX_DURATION)
+}
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -456,9 +456,7 @@
         let prompt_tokens = f64::from(queued) * f64::from(speed.mean_prompt) + f64::from(prompt);
         let prefill = prompt_tokens / speed.prefill_rate.max(1.0) * self.slowdown();
         let passes_awaited = if occupancy == 0 { 0.0 } else { MEAN_PASS_WAIT };
-        Duration::from_secs_f64(
-            passes_awaited * pass + slots_awaited * time_per_slot + prefill + pass,
-        )
+        clamp::seconds(passes_awaited * pass + slots_awaited * time_per_slot + prefill + pass)
     }
 }
 
@@ -477,5 +475,5 @@
 /// Time to decode an answer of `tokens` at full load.
 pub fn decode_time(speed: &Speed, tokens: u32) -> Duration {
     let passes = (f64::from(tokens) / f64::from(speed.steps_per_pass.max(1))).max(1.0);
-    Duration::from_secs_f64(passes * pass_time(speed, speed.slots) / (1.0 - PREFILL_SHARE))
+    clamp::seconds(passes * pass_time(speed, speed.slots) / (1.0 - PREFILL_SHARE))
 }
--- a/crates/core/tests/extremes.rs
+++ b/crates/core/tests/extremes.rs
@@ -3,8 +3,8 @@
 mod engines;
 
 use {
-    engines::{Fixture, listing, only_host, report, requirements},
-    jayspread_core::engine::Load,
+    engines::{Fixture, listing, only_host, report, requirements, speed},
+    jayspread_core::{catalog::Speed, engine::Load, target::Bound},
     rstest::rstest,
     std::time::Duration,
 };
@@ -78,3 +78,40 @@
         assert_ne!(fixture.choose().as_deref(), Ok("a"));
     }
 }
+
+/// Guards against a panic in the prediction of the time to the first event when a configuration
+/// states a speed, or an engine a slowdown, whose product is longer than any `Duration`.
+#[rstest]
+#[case::step(Duration::MAX, 1.0)]
+#[case::slowdown(Duration::from_micros(7_400), f64::INFINITY)]
+#[case::product(Duration::from_secs(u64::MAX / 4), f64::MAX)]
+fn engine_of_any_slowness_is_compared(#[case] step_time: Duration, #[case] slowdown: f64) {
+    let mut fixture = Fixture::new(&[("a", "r1"), ("b", "r1")]);
+    fixture.backend.speed = Some(Speed {
+        step_time,
+        step_time_per_sequence: step_time,
+        steps_per_pass: u32::MAX,
+        mean_answer: u32::MAX,
+        mean_prompt: u32::MAX,
+        prefill_rate: -1.0,
+        ..speed()
+    });
+    let mut slow = report(2, 3, only_host());
+    slow.load.slowdown = slowdown;
+    fixture.apply_report(1, slow);
+    let bound = Bound {
+        version: 2,
+        until: fixture.now + Duration::from_secs(5),
+    };
+    for version_bounds in [&[][..], &[bound]] {
+        for resuming in [false, true] {
+            let mut requirements = requirements(&fixture.route, &fixture.backend);
+            requirements.version_bounds = version_bounds;
+            requirements.resuming = resuming;
+            let result = fixture
+                .table
+                .choose(&requirements, &mut fixture.rng, fixture.now);
+            assert_eq!(result.is_ok(), version_bounds.is_empty());
+        }
+    }
+}
