The share of a limit above the range of a count is not lost

What callers saw: an engine that named a limit of requests per second or a multiple of it got none, and other limits of this size ended requests with an overflow in debug builds.

Cause: audience::share cut the share of a host to the low 32 bits and then added one to it.

Change: the share saturates.

--- a/crates/core/src/audience.rs
+++ b/crates/core/src/audience.rs
@@ -82,6 +82,7 @@
 pub fn share(rate: f64, index: usize, hosts: usize, subject: u64) -> u32 {
     let hosts = hosts.max(1) as u64;
     let whole = rate.max(0.0) as u64;
-    let rank = (index as u64 + subject % hosts) % hosts;
-    (whole / hosts) as u32 + u32::from(rank < whole % hosts)
+    let rank = (index as u64 % hosts + subject % hosts) % hosts;
+    let share = u32::try_from(whole / hosts).unwrap_or(u32::MAX);
+    share.saturating_add(u32::from(rank < whole % hosts))
 }
--- a/crates/core/tests/extremes.rs
+++ b/crates/core/tests/extremes.rs
@@ -4,7 +4,11 @@
 
 use {
     engines::{Fixture, listing, only_host, report, requirements, speed},
-    jayspread_core::{catalog::Speed, engine::Load, target::Bound},
+    jayspread_core::{
+        catalog::Speed,
+        engine::{Load, Place},
+        target::Bound,
+    },
     rstest::rstest,
     std::time::Duration,
 };
@@ -115,3 +119,23 @@
         }
     }
 }
+
+/// Guards against a limit that an engine names above the range of a count: the host's share
+/// overflowed, or became zero.
+#[rstest]
+#[case::shares_overflow(2_147_483_647.75, 2)]
+#[case::share_wraps_to_zero(1_073_741_824.0, 1)]
+#[case::infinite(f64::INFINITY, 3)]
+fn highest_limit_lets_requests_through(#[case] rate: f64, #[case] hosts: usize) {
+    for index in 0..hosts {
+        let mut fixture = Fixture::new(&[]);
+        fixture
+            .table
+            .add_listing(listing("a", 1, "r1"), fixture.now);
+        let mut limited = report(0, 0, only_host());
+        limited.limit = Some(rate);
+        limited.place = Place { index, hosts };
+        fixture.apply_report(1, limited);
+        assert_eq!(fixture.choose().as_deref(), Ok("a"));
+    }
+}
