The weights of a route's services are added without overflow

What callers saw: in debug builds, requests on a route ended with neither an answer nor a refusal after a configuration gave two of its services weights of 4294967 or more; in release builds the shares of the services were wrong.

Cause: Route::pick_service added the weights, which are kept in thousandths, as u32 in the task of the caller's request.

Change: the sum is a floating-point number, as the sample that is compared with it.

Measured: heaviest_weights_are_shared_evenly failed before with "attempt to add with overflow"; it passes now.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -70,8 +70,8 @@
 impl Route {
     /// Picks a service by weight; `sample` is drawn uniformly from 0 to 1.
     pub fn pick_service(&self, sample: f64) -> &Service {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut remaining = sample * f64::from(total);
+        let weights = self.targets.iter().map(|target| f64::from(target.weight));
+        let mut remaining = sample * weights.sum::<f64>();
         for target in &self.targets {
             remaining -= f64::from(target.weight);
             if remaining < 0.0 {
--- a/crates/core/tests/extremes.rs
+++ b/crates/core/tests/extremes.rs
@@ -3,9 +3,9 @@
 mod engines;
 
 use {
-    engines::{Fixture, listing, only_host, report, requirements, speed},
+    engines::{Fixture, listing, only_host, report, requirements, route, speed},
     jayspread_core::{
-        catalog::Speed,
+        catalog::{Speed, Target},
         engine::{Load, Place},
         target::Bound,
     },
@@ -139,3 +139,17 @@
         assert_eq!(fixture.choose().as_deref(), Ok("a"));
     }
 }
+
+/// Guards against an overflow in the task of the caller's request when the weights of a route's
+/// services have a larger sum than a `u32`.
+#[test]
+fn heaviest_weights_are_shared_evenly() {
+    let mut route = route(&[]);
+    let target = |service: &str| Target {
+        service: service.into(),
+        weight: u32::MAX,
+    };
+    route.targets = vec![target("s"), target("t")];
+    assert_eq!(&**route.pick_service(0.25), "s");
+    assert_eq!(&**route.pick_service(0.75), "t");
+}
