--- a/crates/core/src/clamp.rs
+++ b/crates/core/src/clamp.rs
@@ -10,6 +10,11 @@
     at + duration.min(MAX_DURATION)
 }
 
+/// Converts milliseconds; more than [`MAX_DURATION`] to that.
+pub fn milliseconds(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds).min(MAX_DURATION)
+}
+
 /// Converts seconds: a negative number to zero, and one above [`MAX_DURATION`], or none at all, to
 /// that.
 pub fn seconds(seconds: f64) -> Duration {
