--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -8,6 +8,7 @@
     crate::{
         audience,
         catalog::Speed,
+        clamp,
         delay::{Delay, Sent},
         id::{self, DataCentre, Engine as Id, Region, Service},
         outlier::Detector,
@@ -86,6 +87,13 @@
     pub slowdown: f64,
 }
 
+impl Load {
+    /// Number of running and queued requests.
+    fn total(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// Report of an agent on its engine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
@@ -177,7 +185,7 @@
 impl Engine {
     /// Creates the state of an engine that is listed for the first time.
     pub fn new(listing: Listing, now: Instant) -> Self {
-        let cold_until = now + listing.cold_remaining;
+        let cold_until = clamp::later(now, listing.cold_remaining);
         Self {
             subject: id::score(b"share", &listing.id),
             listing,
@@ -201,7 +209,8 @@
     /// end; a listing that says otherwise is an older one.
     pub fn update_listing(&mut self, listing: Listing, now: Instant) {
         if !listing.cold_remaining.is_zero() {
-            self.cold_until = self.cold_until.max(now + listing.cold_remaining);
+            let cold_until = clamp::later(now, listing.cold_remaining);
+            self.cold_until = self.cold_until.max(cold_until);
         }
         let draining = self.listing.draining || listing.draining;
         self.listing = Listing {
@@ -245,8 +254,7 @@
             self.leaving = true;
         }
         self.limit.apply_report(report.limit, sent_at);
-        let occupied = report.load.running + report.load.waiting;
-        let free = (self.listing.slots + QUEUE_LENGTH).saturating_sub(occupied);
+        let free = self.capacity().saturating_sub(report.load.total());
         let max_new = report.max_new.saturating_sub(report.load.waiting);
         self.credit = report.rotation.share(free, max_new);
         self.credit_until = sent_at + report.valid.min(MAX_CREDIT_TIME);
@@ -260,8 +268,13 @@
         if now < self.credit_until {
             return self.credit > 0;
         }
-        let slots = f64::from(self.listing.slots + QUEUE_LENGTH);
-        !self.managed && self.in_flight < self.share(slots, default_place)
+        let capacity = f64::from(self.capacity());
+        !self.managed && self.in_flight < self.share(capacity, default_place)
+    }
+
+    /// Number of requests that may run and queue at the engine.
+    fn capacity(&self) -> u32 {
+        self.listing.slots.saturating_add(QUEUE_LENGTH)
     }
 
     /// This host's share of a limit for all hosts at `place`.
@@ -355,15 +368,18 @@
     /// equally.
     pub fn occupancy(&self, hosts: usize, now: Instant) -> u32 {
         // A single request tells nothing of other hosts: most of them have none there.
-        let extrapolated = self.in_flight + self.in_flight.saturating_sub(1) * hosts.max(1) as u32;
+        let hosts = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
+        let of_others = self.in_flight.saturating_sub(1).saturating_mul(hosts);
+        let extrapolated = self.in_flight.saturating_add(of_others);
         let Some(observation) = self.observation else {
             return extrapolated;
         };
         if now.saturating_duration_since(observation.at) > REPORT_MAX_AGE {
             return extrapolated;
         }
-        let reported = observation.load.running + observation.load.waiting;
-        (reported + self.in_flight)
+        let reported = observation.load.total();
+        reported
+            .saturating_add(self.in_flight)
             .saturating_sub(observation.in_flight)
             .max(self.in_flight)
     }
@@ -376,7 +392,8 @@
         if now.saturating_duration_since(observation.at) > REPORT_MAX_AGE {
             return self.in_flight.min(1);
         }
-        observation.load.waiting + self.in_flight.saturating_sub(observation.in_flight)
+        let sent_since = self.in_flight.saturating_sub(observation.in_flight);
+        observation.load.waiting.saturating_add(sent_since)
     }
 
     fn slowdown(&self) -> f64 {
@@ -434,14 +451,12 @@
         let decoding = occupancy.saturating_sub(queued).min(speed.slots);
         let pass = pass_time(speed, decoding) * self.slowdown();
         let slots = f64::from(speed.slots.max(1));
-        let slots_awaited = f64::from((occupancy + 1).saturating_sub(speed.slots));
+        let slots_awaited = f64::from(occupancy.saturating_add(1).saturating_sub(speed.slots));
         let time_per_slot = slot_time(speed) * self.slowdown() / slots;
         let prompt_tokens = f64::from(queued) * f64::from(speed.mean_prompt) + f64::from(prompt);
         let prefill = prompt_tokens / speed.prefill_rate.max(1.0) * self.slowdown();
         let passes_awaited = if occupancy == 0 { 0.0 } else { MEAN_PASS_WAIT };
-        Duration::from_secs_f64(
-            passes_awaited * pass + slots_awaited * time_per_slot + prefill + pass,
-        )
+        clamp::seconds(passes_awaited * pass + slots_awaited * time_per_slot + prefill + pass)
     }
 }
 
@@ -460,5 +475,5 @@
 /// Time to decode an answer of `tokens` at full load.
 pub fn decode_time(speed: &Speed, tokens: u32) -> Duration {
     let passes = (f64::from(tokens) / f64::from(speed.steps_per_pass.max(1))).max(1.0);
-    Duration::from_secs_f64(passes * pass_time(speed, speed.slots) / (1.0 - PREFILL_SHARE))
+    clamp::seconds(passes * pass_time(speed, speed.slots) / (1.0 - PREFILL_SHARE))
 }
