A stream of a caller's retry waits for another engine when its own has ended

Cause: a caller's retry is refused at once while its service is saturated; that was also asked of a request whose stream had begun. Ruled out: the retry budget and the attempts (sends=1, no line no_repeat).

Change: the decision is in core::patience; only a request that no engine has had gives way.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod member;
 pub mod mirror;
 pub mod outlier;
+pub mod patience;
 pub mod placement;
 pub mod progress;
 pub mod quarantine;
--- a/crates/entry/src/front/acquire.rs
+++ b/crates/entry/src/front/acquire.rs
@@ -7,21 +7,14 @@
     },
     jayspread_core::{
         catalog::Backend,
+        patience::{self, Wait},
         placement::{Choice, Refusal, Requirements},
     },
     jayspread_net::clock,
-    std::time::{Duration, Instant},
+    std::time::Duration,
     tokio::time,
 };
 
-/// A first attempt waits for a free engine for the route's latency target divided by this; after
-/// that, an early refusal serves the caller better.
-const WAIT_DIVISOR: u32 = 8;
-/// Time for which a further attempt waits for a free engine.
-const RETRY_WAIT: Duration = Duration::from_millis(500);
-/// Retry delay suggested to a caller that retries while the service is saturated; its request gives
-/// way to the first tries of other callers.
-const SATURATED_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 /// Interval between checks for a free engine.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Share of the latency target within which the response to a caller's retry must be expected. It
@@ -31,14 +24,19 @@
 impl Exchange {
     /// Chooses an engine; waits for a limited time while all are busy.
     pub async fn acquire_engine(&mut self) -> Result<Choice, Refusal> {
-        let is_first_try = !self.is_caller_retry && self.call.sends() == 0;
-        if self.is_caller_retry
-            && self.route.kind.is_stream()
-            && self.state.is_saturated(&self.service)
-        {
-            return Err(Refusal::Busy(SATURATED_RETRY_AFTER));
-        }
-        let deadline = self.wait_deadline();
+        let request = patience::Request {
+            was_sent: self.call.sends() > 0,
+            is_caller_retry: self.is_caller_retry,
+            is_stream: self.route.kind.is_stream(),
+            latency_target: self.route.latency_target,
+            age: self.elapsed(),
+        };
+        let is_first_try = !request.is_caller_retry && !request.was_sent;
+        let wait = match request.wait(self.state.is_saturated(&self.service)) {
+            Wait::Refuse(retry_after) => return Err(Refusal::Busy(retry_after)),
+            Wait::AtMost(wait) => wait.min(self.remaining()),
+        };
+        let deadline = clock::now() + wait;
         loop {
             self.check_quarantine()?;
             match self.choose_engine() {
@@ -55,18 +53,6 @@
         }
     }
 
-    /// Time until which the request waits for a free engine. A caller's retry does not wait at all;
-    /// after a failed attempt the wait is longer.
-    fn wait_deadline(&self) -> Instant {
-        if self.call.sends() > 0 {
-            return self.deadline.min(clock::now() + RETRY_WAIT);
-        }
-        if self.is_caller_retry {
-            return self.arrived;
-        }
-        self.arrived + self.route.latency_target / WAIT_DIVISOR
-    }
-
     /// Chooses an engine and reserves capacity there.
     pub fn choose_engine(&mut self) -> Result<Choice, Refusal> {
         let place = self.state.place();
