A stopping host answers requests on open connections

Cause: the host closed all idle connections at the signal, also those on which a request was arriving. The class is that of the silent engine: something is given up before what replaces it is in hand.

Change: connections stay open while the host stops; each response tells the caller to close.

--- a/crates/entry/src/front/listener.rs
+++ b/crates/entry/src/front/listener.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::front::{relay, state::State},
-    http::{Request, Response, StatusCode},
+    http::{HeaderValue, Request, Response, StatusCode, header},
     http_body_util::Empty,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
@@ -109,7 +109,6 @@
 
 async fn serve_caller(stream: TcpStream, state: Arc<State>) {
     let activity = Activity::new();
-    let mut stopping = state.stopping.subscribe();
     let catalog = state.catalog();
     let max_header_bytes = catalog.as_ref().map_or(MIN_HEADER_BUFFER_BYTES, |catalog| {
         catalog.limits.max_head_bytes
@@ -120,21 +119,25 @@
             let (state, activity) = (Arc::clone(&state), Arc::clone(&activity));
             async move {
                 activity.in_flight.fetch_add(1, Ordering::AcqRel);
-                let response = relay::serve(state, request).await;
+                let mut response = relay::serve(Arc::clone(&state), request).await;
+                if state.is_stopping() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
                 activity.in_flight.fetch_sub(1, Ordering::AcqRel);
                 activity.touch();
                 Ok::<_, Infallible>(response)
             }
         }
     });
-    let already_stopping = *stopping.borrow_and_update();
     let connection = http1::Builder::new()
-        .keep_alive(!already_stopping)
         .auto_date_header(false)
         .max_buf_size(max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut closing = already_stopping;
+    // A stopping host does not close idle connections, since a request may be on its way: the next
+    // response tells the caller to.
+    let mut closing = false;
     loop {
         let idle_timeout = state
             .catalog()
@@ -148,10 +151,6 @@
                 }
                 return;
             }
-            _ = stopping.changed(), if !closing => {
-                closing = true;
-                connection.as_mut().graceful_shutdown();
-            }
             () = time::sleep_until(wake_at.into()), if !closing => {
                 if activity.expiry(idle_timeout).is_some_and(|expiry| expiry <= clock::now()) {
                     closing = true;
