Write panics to the log, and keep the log usable after one

What callers saw: a panic was printed to standard error only, beside the log that operators keep; nothing counted it.

Cause: no panic hook. Found with it: the logger formats a line while it holds the writer's lock. A value that panics while it is formatted poisons that lock, after which every log line of the process panics; a hook that logs waits for the lock for ever.

Ruled out: writing the message from the hook past the log. Standard error is not what operators collect, and may block.

--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -429,10 +429,7 @@
             }
             Err(problem) => {
                 let (sends, reason) = (self.call.sends(), problem.reason);
-                self.trace_event(
-                    "not_resumed",
-                    format_args!("sends={sends} reason={reason}"),
-                );
+                self.trace_event("not_resumed", format_args!("sends={sends} reason={reason}"));
                 None
             }
         }
--- a/crates/net/src/telemetry.rs
+++ b/crates/net/src/telemetry.rs
@@ -1,6 +1,8 @@
 //! Logging: one line of `key=value` pairs per event.
 
 use {
+    crate::panic,
+    log::{Log, Metadata, Record},
     simplelog::{ConfigBuilder, LevelFilter, WriteLogger},
     std::{fmt, io},
     tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard},
@@ -94,6 +96,37 @@
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("jayspread")
         .build();
+    let logger = Logger(*WriteLogger::new(level, config, writer));
     // Fails if a logger is installed already, as in tests that run several instances in one process.
-    let _ = WriteLogger::init(level, config, writer);
+    if log::set_boxed_logger(Box::new(logger)).is_ok() {
+        log::set_max_level(level);
+        panic::install_hook();
+    }
+}
+
+/// Formats the line before the writer is locked. A value that panics while it is formatted would
+/// poison that lock, and the panic hook would wait for it for ever.
+struct Logger<W: io::Write + Send + 'static>(WriteLogger<W>);
+
+impl<W: io::Write + Send + 'static> Log for Logger<W> {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.0.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let line = record.args().to_string();
+        self.0.log(
+            &Record::builder()
+                .metadata(record.metadata().clone())
+                .args(format_args!("{line}"))
+                .build(),
+        );
+    }
+
+    fn flush(&self) {
+        self.0.flush();
+    }
 }
