Keep tables usable after a panic under their lock

What callers saw: after one panic under a lock, each later request and task that used the table panicked as well. For the table of engines that is every request.

Cause: lock() of both crates, of Slots and of Buffer panicked when the mutex was poisoned. Permit::drop takes such a lock: during the unwinding of a request that would have been a second panic, which ends the process.

Ruled out: restarting the process on a poisoned lock. A value that panics comes back at once from the store, and to all hosts.

Change: sync::lock clears the poison, counts and logs it once (event=lock_poisoned table=TYPE), and returns the guard. Why each table can be used as a panic left it: - front engines (placement::Table): in_flight is raised as the last step of a reservation now, so that a panic before leaves no request that never ends; it is lowered in one step. Entries are replaced whole; load, limit and health of an engine are estimates that the next answer or report overwrites. - mirrors: the position moves after the records of a batch were stored, so a batch that panics is read again.

Why it works: the invariants that callers depend on (counts of requests in flight) hold at each point that can panic; all else is refreshed by the next message.

Measured: lock_is_usable_after_a_panic failed before (panicked in lock()), passes now.

--- a/crates/agent/src/response.rs
+++ b/crates/agent/src/response.rs
@@ -6,6 +6,7 @@
 
 use {
     bytes::Bytes,
+    jayspread_net::sync,
     jayspread_schema::wire::{Head, Refusal},
     std::{
         collections::VecDeque,
@@ -159,9 +160,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .expect("no thread panicked while holding the lock")
+        sync::lock(&self.state)
     }
 }
 
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -30,13 +30,15 @@
     std::{
         collections::BTreeMap,
         sync::{
-            Arc, Mutex, MutexGuard,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicU32, Ordering},
         },
     },
     tokio::sync::{Notify, Semaphore},
 };
 
+pub use jayspread_net::sync::lock;
+
 /// Multiple of the call timeout after which a load order can no longer take effect.
 const ORDER_TIMEOUT_CALLS: u32 = 3;
 
@@ -300,10 +302,3 @@
         }
     }
 }
-
-/// Locks a mutex, panicking if it is poisoned.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .expect("no thread panicked while holding the lock")
-}
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -293,10 +293,11 @@
     /// Counts a request that is about to be sent; see [`Engine::has_capacity`] for `default_place`.
     pub fn start_request(&mut self, default_place: Place, now: Instant) {
         let place = self.granted_place(now).unwrap_or(default_place);
-        self.in_flight += 1;
         self.credit = self.credit.saturating_sub(1);
         self.recent_requests.record(now);
         self.limit.record_request(place, now);
+        // Last, so that a panic above leaves no request that never ends.
+        self.in_flight += 1;
     }
 
     /// Counts a request that has ended.
--- a/crates/core/src/placement/choice.rs
+++ b/crates/core/src/placement/choice.rs
@@ -135,8 +135,8 @@
             version,
             version_left: bound.map(|until| until.saturating_duration_since(now)),
         };
-        engine.start_request(requirements.place, now);
         engine.outlier.record_send(now);
+        engine.start_request(requirements.place, now);
         choice
     }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,7 +14,7 @@
     std::{
         collections::BTreeMap,
         sync::{
-            Arc, Mutex, MutexGuard,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Instant,
@@ -22,6 +22,8 @@
     tokio::sync::{Notify, watch},
 };
 
+pub use jayspread_net::sync::lock;
+
 /// Shared state of an entry host.
 pub struct Shared {
     /// Settings of this entry host.
@@ -151,10 +153,3 @@
         self.roster_wake.notify_one();
     }
 }
-
-/// Locks a mutex, which is never poisoned.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .expect("no thread panics while it holds the lock")
-}
--- a/crates/entry/src/slots.rs
+++ b/crates/entry/src/slots.rs
@@ -11,7 +11,7 @@
         rollout::{Gate, Status, gate},
         route::{self, Candidate, InFlight, Policy},
     },
-    jayspread_net::clock,
+    jayspread_net::{clock, sync},
     jayspread_schema::wire::{Load, Phase},
     rand::{SeedableRng, rngs::SmallRng},
     std::{
@@ -420,9 +420,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner
-            .lock()
-            .expect("no thread panics while it holds the lock")
+        sync::lock(&self.inner)
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod panic;
 pub mod session;
 pub mod signal;
+pub mod sync;
 pub mod targets;
 pub mod telemetry;
