Supervise background tasks

What callers saw: a process whose task panicked went on without it. A host whose task that follows the engines had ended kept an old list, and stayed ready.

Cause: the tasks were started by tokio::spawn, and nobody awaited their handles while the process ran.

Ruled out: ending the process. All hosts read the same records, so the record that panics would end them all at once, with the requests in flight.

Change: net::task::Supervisor starts a task again when it panics or returns, writes event=task_ended task= reason= restarts= backoff_ms=, and counts it (task_ends). core::restart decides: the backoff doubles from 50 ms to 2 s; four ends in a row, each before the task ran for 10 s, make the process unready (View:: ready, event=task_health) until the task has run for 10 s. It covers the tasks of the entry hosts, the agents and the accept loops; admin ports too. Closing a supervisor aborts its tasks without an end being counted. A control loop of an agent that is started again finds what a new process finds (fetches ended, engine not closed); a watch that ends during an outage takes back its count of lost topics.

Not supervised: tasks of one connection, one request or one fetch.

Why it works: a task's state is created anew by its closure, and the shared tables are usable after a panic.

--- a/crates/agent/src/dump.rs
+++ b/crates/agent/src/dump.rs
@@ -17,7 +17,7 @@
         if self.settings.backend.kind == Kind::Engine && !serving {
             return Err("no version served".into());
         }
-        Ok(())
+        self.tasks.check()
     }
 
     fn dump(&self) -> Value {
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -9,12 +9,13 @@
         shared::{Shared, lock},
         store::{self, Store},
     },
-    jayspread_core::chunk::Policy,
+    jayspread_core::{chunk, restart},
     jayspread_net::{
         admin::Admin,
         cert::Tls,
         clock, event, link,
         node::{self, Identity, Node},
+        task::Supervisor,
     },
     jayspread_schema::{settings::Agent as Settings, wire::Role},
     quinn::Runtime,
@@ -23,7 +24,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::{task::JoinHandle, time},
+    tokio::time,
 };
 
 /// Interval between checks whether all attempts in flight have finished.
@@ -56,7 +57,7 @@
 pub struct Process {
     shared: Arc<Shared>,
     admin: Admin,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: Supervisor,
 }
 
 impl Process {
@@ -65,7 +66,7 @@
         settings: Settings,
         tls: &Tls,
         runtime: Arc<dyn Runtime>,
-        policy: Policy,
+        policy: chunk::Policy,
     ) -> Result<Self, Error> {
         let timing = settings.timing;
         let identity = Identity::new(settings.place.clone(), Role::Agent);
@@ -83,14 +84,16 @@
         let admin = settings.listen.admin;
         let shared = Shared::new(settings, node.clone(), engine, store, policy);
         let registry = shared.metrics.registry();
-        let admin = Admin::open(admin, Arc::clone(&shared), registry)
+        let admin = Admin::open(admin, Arc::clone(&shared), registry, &shared.tasks)
             .await
             .map_err(Error::Admin)?;
         let handler = Arc::new(Handler::new(&shared));
-        let tasks = vec![
-            tokio::spawn(link::accept(node, handler)),
-            tokio::spawn(Controller::new(&shared).run()),
-        ];
+        let mut tasks = Supervisor::new(&shared.tasks, restart::Policy::default());
+        tasks.spawn("accept", move || {
+            link::accept(node.clone(), Arc::clone(&handler))
+        });
+        let state = Arc::clone(&shared);
+        tasks.spawn("control", move || Controller::new(&state).run());
         event!(
             Info,
             "started",
@@ -146,9 +149,7 @@
 
     async fn terminate(self, cut_off: usize) {
         self.admin.close();
-        for task in self.tasks {
-            task.abort();
-        }
+        self.tasks.close();
         self.shared.peers.close();
         self.shared.node.clone().close().await;
         event!(Info, "stopped", cut_off = cut_off);
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -22,7 +22,7 @@
         ramp::Ramp,
         rollout::Grants,
     },
-    jayspread_net::{clock, event, node::Node},
+    jayspread_net::{clock, event, node::Node, task::Health},
     jayspread_schema::{
         settings::{Agent as Settings, Kind},
         wire::{Load, Member, Phase, Submit, Update},
@@ -91,6 +91,8 @@
     pub policy: chunk::Policy,
     /// Metrics of this process.
     pub metrics: Metrics,
+    /// Health of the background tasks.
+    pub tasks: Arc<Health>,
     /// Wakes the control loop.
     pub control_wakeup: Notify,
     /// Wakes uploads that wait for a chunk to arrive.
@@ -144,6 +146,7 @@
             cross_region_upload_permits: Semaphore::new(MAX_CROSS_REGION_UPLOADS),
             policy,
             metrics: Metrics::default(),
+            tasks: Arc::default(),
             control_wakeup: Notify::new(),
             chunk_arrived: Notify::new(),
             chunks_staged: AtomicU32::new(0),
--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -62,6 +62,18 @@
     closed_at: Option<Instant>,
 }
 
+impl Drop for Controller {
+    /// Leaves what the next control loop of this process expects, as a new process does.
+    fn drop(&mut self) {
+        for (_, task) in self.fetch_task.iter().chain(&self.resumed_fetch) {
+            task.abort();
+        }
+        let mut engine_state = lock(&self.shared.engine_state);
+        engine_state.closed_for_load = false;
+        engine_state.load_planned_at = None;
+    }
+}
+
 impl Controller {
     /// Creates the control loop of the agent with this state.
     pub fn new(shared: &Arc<Shared>) -> Self {
--- a/crates/agent/src/slot/process.rs
+++ b/crates/agent/src/slot/process.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::slot::{control::Controller, gossip, serve, shared::Shared},
+    jayspread_core::restart::Policy,
     jayspread_net::{
         admin::{self, Admin},
         datagram::{self, Identity, Socket},
         event,
+        task::Supervisor,
     },
     jayspread_platform::settings::Settings,
     jayspread_schema::peer::Role,
@@ -14,7 +16,6 @@
         net::{IpAddr, SocketAddr},
         sync::Arc,
     },
-    tokio::task::JoinHandle,
 };
 
 /// Startup error.
@@ -44,7 +45,7 @@
     shared: Arc<Shared>,
     admin: Admin,
     peer_port: admin::Server,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: Supervisor,
 }
 
 impl Process {
@@ -66,18 +67,19 @@
             .await
             .map_err(bind("datagram"))?;
         let shared = Shared::new(settings, engine, socket);
-        let peer_port = admin::Server::open(peer_address, serve::router(Arc::clone(&shared)))
-            .await
-            .map_err(bind("peer"))?;
+        let peer_port = admin::Server::open(
+            "peers",
+            peer_address,
+            serve::router(Arc::clone(&shared)),
+            &shared.tasks,
+        )
+        .await
+        .map_err(bind("peer"))?;
         let registry = shared.metrics.registry();
-        let admin = Admin::open(admin_address, Arc::clone(&shared), registry)
+        let admin = Admin::open(admin_address, Arc::clone(&shared), registry, &shared.tasks)
             .await
             .map_err(bind("metrics"))?;
-        let tasks = vec![
-            tokio::spawn(gossip::receive(Arc::clone(&shared))),
-            tokio::spawn(gossip::run(Arc::clone(&shared))),
-            tokio::spawn(Controller::new(&shared).run()),
-        ];
+        let tasks = start_tasks(&shared);
         let identity = &shared.socket.identity;
         event!(
             Info,
@@ -104,11 +106,21 @@
     /// Stops the agent. The engine keeps serving, and the next agent reads its state from it.
     pub fn close(self) {
         self.shared.socket.set_leaving();
-        for task in self.tasks {
-            task.abort();
-        }
+        self.tasks.close();
         self.peer_port.close();
         self.admin.close();
         event!(Info, "stopped", host = self.shared.settings.host);
     }
 }
+
+/// Starts the background tasks.
+fn start_tasks(shared: &Arc<Shared>) -> Supervisor {
+    let mut tasks = Supervisor::new(&shared.tasks, Policy::default());
+    let state = Arc::clone(shared);
+    tasks.spawn("receive", move || gossip::receive(Arc::clone(&state)));
+    let state = Arc::clone(shared);
+    tasks.spawn("gossip", move || gossip::run(Arc::clone(&state)));
+    let state = Arc::clone(shared);
+    tasks.spawn("control", move || Controller::new(&state).run());
+    tasks
+}
--- a/crates/agent/src/slot/shared.rs
+++ b/crates/agent/src/slot/shared.rs
@@ -14,7 +14,7 @@
         spread::Holder,
         target::Targets,
     },
-    jayspread_net::{admin::View, clock, datagram::Socket, members::Roster},
+    jayspread_net::{admin::View, clock, datagram::Socket, members::Roster, task::Health},
     jayspread_platform::{engine::State, settings::Settings},
     jayspread_schema::peer::Role,
     serde_json::{Value, json},
@@ -125,6 +125,8 @@
     pub report_now: Notify,
     /// Metrics of this process.
     pub metrics: Metrics,
+    /// Health of the background tasks.
+    pub tasks: Arc<Health>,
 }
 
 impl Shared {
@@ -149,6 +151,7 @@
             target_updates: watch::Sender::new(0),
             report_now: Notify::new(),
             metrics: Metrics::default(),
+            tasks: Arc::default(),
             settings,
         })
     }
@@ -237,6 +240,7 @@
 
 impl View for Shared {
     fn ready(&self) -> Result<(), Box<str>> {
+        self.tasks.check()?;
         if lock(&self.engine_state).responsive {
             return Ok(());
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod quarantine;
 pub mod ramp;
 pub mod reader;
+pub mod restart;
 pub mod retry;
 pub mod rollout;
 pub mod route;
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -28,7 +28,7 @@
         if !state.accepts_work(&self.settings.place.data_centre) {
             return Err("data centre is out".into());
         }
-        Ok(())
+        self.tasks.check()
     }
 
     fn dump(&self) -> Value {
--- a/crates/entry/src/front/listener.rs
+++ b/crates/entry/src/front/listener.rs
@@ -6,7 +6,8 @@
     http_body_util::Empty,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
-    jayspread_net::{admin::View, channel, clock, event},
+    jayspread_core::restart::Policy,
+    jayspread_net::{admin::View, channel, clock, event, task::Supervisor},
     std::{
         convert::Infallible,
         io,
@@ -19,7 +20,6 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        task::JoinHandle,
         time,
     },
 };
@@ -35,35 +35,53 @@
 
 /// A listening port and the task that accepts its connections.
 pub struct Listener {
-    task: JoinHandle<()>,
+    tasks: Supervisor,
 }
 
 impl Listener {
     /// Listens for callers' requests.
     pub async fn callers(address: SocketAddr, state: Arc<State>) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let task = tokio::spawn(accept(listener, move |stream| {
-            tokio::spawn(serve_caller(stream, Arc::clone(&state)));
-        }));
-        Ok(Self { task })
+        Self::open("callers", address, state, |stream, state| {
+            tokio::spawn(serve_caller(stream, state));
+        })
+        .await
     }
 
     /// Listens for health checks of the load balancer.
     pub async fn balancer(address: SocketAddr, state: Arc<State>) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let task = tokio::spawn(accept(listener, move |stream| {
-            tokio::spawn(serve_balancer(stream, Arc::clone(&state)));
-        }));
-        Ok(Self { task })
+        Self::open("balancer", address, state, |stream, state| {
+            tokio::spawn(serve_balancer(stream, state));
+        })
+        .await
+    }
+
+    async fn open(
+        name: &'static str,
+        address: SocketAddr,
+        state: Arc<State>,
+        on_connection: fn(TcpStream, Arc<State>),
+    ) -> io::Result<Self> {
+        let listener = Arc::new(TcpListener::bind(address).await?);
+        let mut tasks = Supervisor::new(&state.tasks, Policy::default());
+        tasks.spawn(name, move || {
+            let (listener, state) = (Arc::clone(&listener), Arc::clone(&state));
+            async move {
+                accept(&listener, |stream| {
+                    on_connection(stream, Arc::clone(&state));
+                })
+                .await;
+            }
+        });
+        Ok(Self { tasks })
     }
 
     /// Stops accepting connections; open connections stay.
     pub fn close(self) {
-        self.task.abort();
+        self.tasks.close();
     }
 }
 
-async fn accept(listener: TcpListener, on_connection: impl Fn(TcpStream)) {
+async fn accept(listener: &TcpListener, on_connection: impl Fn(TcpStream)) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/entry/src/front/process.rs
+++ b/crates/entry/src/front/process.rs
@@ -5,11 +5,13 @@
         front::{gossip, listener::Listener, peers, quarantine, state::State, watch},
         shared::lock,
     },
+    jayspread_core::restart::Policy,
     jayspread_net::{
         admin::{self, Admin},
         clock,
         datagram::{self, Identity, Socket},
         event,
+        task::Supervisor,
         telemetry::Output,
     },
     jayspread_platform::{settings::Settings, store::Topic},
@@ -20,7 +22,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::{task::JoinHandle, time},
+    tokio::time,
 };
 
 /// Time after the stop signal during which the load balancer still sends new connections: it checks
@@ -64,7 +66,7 @@
     peers: admin::Server,
     callers: Listener,
     balancer: Listener,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: Supervisor,
 }
 
 impl Process {
@@ -90,11 +92,16 @@
             .await
             .map_err(bind_error("datagram"))?;
         let state = State::new(settings, socket, output.dropped());
-        let peers = admin::Server::open(internal_address, peers::router(Arc::clone(&state)))
-            .await
-            .map_err(bind_error("peer"))?;
+        let peers = admin::Server::open(
+            "peers",
+            internal_address,
+            peers::router(Arc::clone(&state)),
+            &state.tasks,
+        )
+        .await
+        .map_err(bind_error("peer"))?;
         let registry = state.metrics.registry();
-        let admin = Admin::open(admin_address, Arc::clone(&state), registry)
+        let admin = Admin::open(admin_address, Arc::clone(&state), registry, &state.tasks)
             .await
             .map_err(bind_error("metrics"))?;
         let balancer = Listener::balancer(readiness_address, Arc::clone(&state))
@@ -103,13 +110,7 @@
         let callers = Listener::callers(caller_address, Arc::clone(&state))
             .await
             .map_err(bind_error("callers"))?;
-        let tasks = vec![
-            tokio::spawn(watch::run(Arc::clone(&state), Topic::Operator)),
-            tokio::spawn(watch::run(Arc::clone(&state), Topic::Engines)),
-            tokio::spawn(gossip::receive(Arc::clone(&state))),
-            tokio::spawn(gossip::run(Arc::clone(&state))),
-            tokio::spawn(quarantine::run(Arc::clone(&state))),
-        ];
+        let tasks = start_tasks(&state);
         let identity = &state.socket.identity;
         event!(
             Info,
@@ -168,9 +169,26 @@
         self.balancer.close();
         self.peers.close();
         self.admin.close();
-        for task in self.tasks {
-            task.abort();
-        }
+        self.tasks.close();
         cut_off
     }
 }
+
+/// Starts the background tasks.
+fn start_tasks(state: &Arc<State>) -> Supervisor {
+    let mut tasks = Supervisor::new(&state.tasks, Policy::default());
+    for (name, topic) in [
+        ("watch_operator", Topic::Operator),
+        ("watch_engines", Topic::Engines),
+    ] {
+        let state = Arc::clone(state);
+        tasks.spawn(name, move || watch::run(Arc::clone(&state), topic));
+    }
+    let shared = Arc::clone(state);
+    tasks.spawn("receive", move || gossip::receive(Arc::clone(&shared)));
+    let shared = Arc::clone(state);
+    tasks.spawn("gossip", move || gossip::run(Arc::clone(&shared)));
+    let shared = Arc::clone(state);
+    tasks.spawn("quarantine", move || quarantine::run(Arc::clone(&shared)));
+    tasks
+}
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -20,7 +20,7 @@
         target::{Bound, Targets},
         window::Budget,
     },
-    jayspread_net::{admin::View, clock, datagram::Socket, event, members::Roster},
+    jayspread_net::{admin::View, clock, datagram::Socket, event, members::Roster, task::Health},
     jayspread_platform::{settings::Settings, store::Topic},
     jayspread_schema::peer::Role,
     serde_json::{Value, json},
@@ -162,6 +162,8 @@
     pub pool: Mutex<Pool>,
     /// Metrics of this process.
     pub metrics: Metrics,
+    /// Health of the background tasks.
+    pub tasks: Arc<Health>,
     /// Triggers an immediate heartbeat, because something that it reports has changed.
     pub heartbeat_due: Notify,
     /// Notifies that a peer has lost or regained the store, which may change who reads it.
@@ -219,6 +221,7 @@
             started: now,
             pool: Mutex::default(),
             metrics: Metrics::default(),
+            tasks: Arc::default(),
             heartbeat_due: Notify::new(),
             readers_changed: Notify::new(),
             peer_offsets: watch::Sender::default(),
@@ -402,7 +405,7 @@
         if !self.has_engine_list.load(Ordering::Relaxed) {
             return Err("no engine is known yet".into());
         }
-        Ok(())
+        self.tasks.check()
     }
 
     fn dump(&self) -> Value {
--- a/crates/entry/src/front/watch.rs
+++ b/crates/entry/src/front/watch.rs
@@ -76,6 +76,14 @@
     follows: bool,
 }
 
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if self.outage.is_some() {
+            self.state.failing_topics.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
 /// Follows a topic until the task is aborted.
 pub async fn run(state: Arc<State>, topic: Topic) {
     let client = Client::new(state.settings.store_address);
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -10,12 +10,13 @@
         log_reader, roster,
         shared::{Shared, lock},
     },
-    jayspread_core::route::Policy,
+    jayspread_core::{restart, route::Policy},
     jayspread_net::{
         admin::Admin,
         cert::Tls,
         clock, event, link,
         node::{self, Identity, Node},
+        task::Supervisor,
     },
     jayspread_schema::{settings::Entry as Settings, wire::Role},
     quinn::Runtime,
@@ -24,7 +25,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::{task::JoinHandle, time},
+    tokio::time,
 };
 
 /// Time between reporting not ready and closing the port for callers, in which the load balancer
@@ -64,7 +65,7 @@
     shared: Arc<Shared>,
     admin: Admin,
     server: Server,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: Supervisor,
 }
 
 impl Process {
@@ -84,20 +85,17 @@
         let hosts: Arc<dyn Hosts> = Arc::new(hosts::Http::new(settings.hosts, timing.call_timeout));
         let shared = Shared::new(settings, node.clone(), log, hosts, policy);
         let registry = shared.metrics.registry();
-        let admin = Admin::open(listen.admin, Arc::clone(&shared), registry)
+        let admin = Admin::open(listen.admin, Arc::clone(&shared), registry, &shared.tasks)
             .await
             .map_err(Error::Admin)?;
         let server = Server::open(http, Arc::clone(&shared))
             .await
             .map_err(Error::Callers)?;
         let handler = Arc::new(Handler::new(&shared));
-        let tasks = vec![
-            tokio::spawn(link::accept(node, handler)),
-            tokio::spawn(log_reader::run(Arc::clone(&shared))),
-            tokio::spawn(log_reader::write_checkpoints(Arc::clone(&shared))),
-            tokio::spawn(idempotency::run(Arc::clone(&shared))),
-            tokio::spawn(roster::run(Arc::clone(&shared))),
-        ];
+        let mut tasks = start_tasks(&shared);
+        tasks.spawn("accept", move || {
+            link::accept(node.clone(), Arc::clone(&handler))
+        });
         event!(
             Info,
             "started",
@@ -150,15 +148,29 @@
     }
 }
 
+/// Starts the background tasks.
+fn start_tasks(shared: &Arc<Shared>) -> Supervisor {
+    let mut tasks = Supervisor::new(&shared.tasks, restart::Policy::default());
+    let state = Arc::clone(shared);
+    tasks.spawn("log_reader", move || log_reader::run(Arc::clone(&state)));
+    let state = Arc::clone(shared);
+    tasks.spawn("checkpoints", move || {
+        log_reader::write_checkpoints(Arc::clone(&state))
+    });
+    let state = Arc::clone(shared);
+    tasks.spawn("claims", move || idempotency::run(Arc::clone(&state)));
+    let state = Arc::clone(shared);
+    tasks.spawn("roster", move || roster::run(Arc::clone(&state)));
+    tasks
+}
+
 fn is_idle(shared: &Shared) -> bool {
     shared.active_calls.load(Ordering::Relaxed) == 0 && shared.claims.is_idle()
 }
 
-async fn stop(shared: &Shared, admin: Admin, tasks: Vec<JoinHandle<()>>, aborted: usize) {
+async fn stop(shared: &Shared, admin: Admin, tasks: Supervisor, aborted: usize) {
     admin.close();
-    for task in tasks {
-        task.abort();
-    }
+    tasks.close();
     lock(&shared.links).clear();
     shared.node.clone().close().await;
     event!(Info, "stopped", cut_off = aborted);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -9,7 +9,7 @@
         roster::Roster, slots::Slots,
     },
     jayspread_core::{config::State, id::Host, retry::Budget, route::Policy},
-    jayspread_net::{clock, event, link::Link, node::Node},
+    jayspread_net::{clock, event, link::Link, node::Node, task::Health},
     jayspread_schema::{settings::Entry as Settings, wire::Update},
     std::{
         collections::BTreeMap,
@@ -48,6 +48,8 @@
     pub claims: Claims,
     /// Metrics of this entry host.
     pub metrics: Metrics,
+    /// Health of the background tasks.
+    pub tasks: Arc<Health>,
     /// Counter that is incremented whenever the projection has changed.
     pub projection_updates: watch::Sender<u64>,
     /// Wakes the roster task.
@@ -91,6 +93,7 @@
             retry_budget: Mutex::new(Budget::new(clock::now())),
             claims: Claims::default(),
             metrics: Metrics::default(),
+            tasks: Arc::default(),
             projection_updates: watch::Sender::new(0),
             roster_wake: Notify::new(),
             log_up: AtomicBool::new(false),
--- a/crates/net/src/admin.rs
+++ b/crates/net/src/admin.rs
@@ -1,7 +1,10 @@
 //! Administration server: liveness, readiness, metrics and the state dump.
 
 use {
-    crate::event,
+    crate::{
+        event,
+        task::{Health, Supervisor},
+    },
     axum::{
         Router,
         extract::State,
@@ -9,9 +12,10 @@
         response::IntoResponse,
         routing::get,
     },
+    jayspread_core::restart::Policy,
     prometheus_client::{encoding::text, registry::Registry},
     std::{io, net::SocketAddr, sync::Arc},
-    tokio::{net::TcpListener, task::JoinHandle},
+    tokio::net::TcpListener,
 };
 
 /// Media type of metrics in the OpenMetrics text format.
@@ -34,24 +38,38 @@
 
 /// Running HTTP server.
 pub struct Server {
-    task: JoinHandle<()>,
+    tasks: Supervisor,
 }
 
 impl Server {
-    /// Starts serving `router` on `address`.
-    pub async fn open(address: SocketAddr, router: Router) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let task = tokio::spawn(async move {
-            if let Err(cause) = axum::serve(listener, router).await {
-                event!(Error, "port_failed", address = address, reason = cause);
+    /// Starts serving `router` on `address`, as a task with this name.
+    pub async fn open(
+        name: &'static str,
+        address: SocketAddr,
+        router: Router,
+        health: &Arc<Health>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?.into_std()?;
+        let mut tasks = Supervisor::new(health, Policy::default());
+        tasks.spawn(name, move || {
+            let listener = listener.try_clone().and_then(TcpListener::from_std);
+            let router = router.clone();
+            async move {
+                let served = match listener {
+                    Ok(listener) => axum::serve(listener, router).await,
+                    Err(cause) => Err(cause),
+                };
+                if let Err(cause) = served {
+                    event!(Error, "port_failed", address = address, reason = cause);
+                }
             }
         });
-        Ok(Self { task })
+        Ok(Self { tasks })
     }
 
     /// Stops listening.
     pub fn close(self) {
-        self.task.abort();
+        self.tasks.close();
     }
 }
 
@@ -65,8 +83,10 @@
     pub async fn open<V: View>(
         address: SocketAddr,
         view: Arc<V>,
-        registry: Registry,
+        mut registry: Registry,
+        health: &Arc<Health>,
     ) -> io::Result<Self> {
+        health.register(&mut registry);
         let state = Arc::new(AppState { view, registry });
         let router = Router::new()
             .route("/health", get(|| async { "ok\n" }))
@@ -74,7 +94,7 @@
             .route("/metrics", get(metrics::<V>))
             .route("/dump", get(dump::<V>))
             .with_state(state);
-        let server = Server::open(address, router).await?;
+        let server = Server::open("admin", address, router, health).await?;
         Ok(Self { server })
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod signal;
 pub mod sync;
 pub mod targets;
+pub mod task;
 pub mod telemetry;
