Lose one record or datagram, not the task, when applying it panics

What callers saw: a record that panicked was lost together with all later ones of its batch, for as long as nothing changed them: engines missing or stale, an old configuration. A datagram that panicked ended the receiver. After a panic in a fetch from a peer, a host never fetched again, and one in a pull never pulled.

Cause: the mirror moves its position before the tables are changed, so a task that is started again does not read the batch again. The flags is_fetching, pulling and pull_running were cleared by the last statement of the task.

Ruled out: moving the position back. The record would panic again and again, and what follows it would never be applied.

Change: each record and each datagram is applied by panic::catch, and is logged and counted as a malformed one. An engine whose entry panics is taken off the list, as for an unreadable entry. The flags are cleared when the task's guard is dropped.

Why it works: a panic now has the effect of an unreadable value, for which the code provides already.

No test covers the loop over records: no value is known that panics there and will stay so.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -10,6 +10,7 @@
     jayspread_net::{
         event, link,
         session::{Session, Writer},
+        sync::Running,
     },
     jayspread_schema::wire::{Beat, Hello, Pull, Role, Update, ask, reply},
     quinn::RecvStream,
@@ -37,6 +38,7 @@
         let shared = Arc::clone(&self.shared);
         let session = session.clone();
         tokio::spawn(async move {
+            let _running = Running::new(&shared.pull_running);
             let pull = {
                 let config = lock(&shared.config);
                 Pull {
@@ -50,7 +52,6 @@
                 Ok(_) => Metrics::count(&shared.metrics.malformed, "update"),
                 Err(cause) => attempt::log_stream_error(&session.peer.host, &cause),
             }
-            shared.pull_running.store(false, Ordering::Release);
         });
     }
 
--- a/crates/entry/src/front/peers.rs
+++ b/crates/entry/src/front/peers.rs
@@ -25,6 +25,7 @@
     jayspread_net::{
         client::{Client, Request},
         clock, event,
+        sync::Running,
     },
     jayspread_platform::store::Topic,
     jayspread_schema::peer::{Records, Role, Topic as TopicMessage},
@@ -183,6 +184,7 @@
         }
         let state = Arc::clone(self);
         tokio::spawn(async move {
+            let _running = Running::new(&state.is_fetching);
             loop {
                 let next = lock(&state.pending_news).pop_first();
                 match next {
@@ -190,7 +192,6 @@
                     None => break,
                 }
             }
-            state.is_fetching.store(false, Ordering::Release);
         });
     }
 
--- a/crates/entry/src/front/records.rs
+++ b/crates/entry/src/front/records.rs
@@ -4,14 +4,14 @@
     crate::{front::state::State, shared::lock},
     bytes::Bytes,
     jayspread_core::mirror::{Batch, Mirror, Position, Record},
-    jayspread_net::{clock, event},
+    jayspread_net::{clock, event, panic},
     jayspread_platform::{
-        Error,
         record::{self, Change},
         store::Topic,
     },
     std::{
         collections::BTreeSet,
+        fmt::Display,
         sync::atomic::Ordering,
         time::{Duration, Instant},
     },
@@ -156,9 +156,12 @@
     }
     let mut evacuations_changed = false;
     for record in changes {
-        match record::parse_change(&record.key, record.value.as_deref()) {
-            Ok(change) => evacuations_changed |= apply_change(state, change, named),
-            Err(cause) => report_malformed(state, record, &cause),
+        let parse = || record::parse_change(&record.key, record.value.as_deref());
+        let applied = panic::catch(|| parse().map(|change| apply_change(state, change, named)));
+        match applied {
+            Ok(Ok(changed)) => evacuations_changed |= changed,
+            Ok(Err(cause)) => report_malformed(state, record, &cause),
+            Err(panic) => report_malformed(state, record, &panic),
         }
     }
     if evacuations_changed {
@@ -247,13 +250,16 @@
             }
             continue;
         };
-        match record::parse_engine(&record.key, value, &state.settings.regions) {
-            Ok(listing) => list_engine(state, listing, source, now),
-            Err(cause) => {
-                report_malformed(state, record, &cause);
-                lock(&state.engines).remove_listing(&record.key, None, now);
-            }
-        }
+        let parse = || record::parse_engine(&record.key, value, &state.settings.regions);
+        let applied =
+            panic::catch(|| parse().map(|listing| list_engine(state, listing, source, now)));
+        let cause: &dyn Display = match &applied {
+            Ok(Ok(())) => continue,
+            Ok(Err(cause)) => cause,
+            Err(panic) => panic,
+        };
+        report_malformed(state, record, cause);
+        lock(&state.engines).remove_listing(&record.key, None, now);
     }
     state.has_engine_list.store(true, Ordering::Relaxed);
 }
@@ -284,7 +290,7 @@
     );
 }
 
-fn report_malformed(state: &State, record: &Record, cause: &Error) {
+fn report_malformed(state: &State, record: &Record, cause: &dyn Display) {
     state.metrics.malformed_records.inc();
     event!(
         Warn,
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -9,6 +9,7 @@
     jayspread_net::{
         clock, event, link,
         session::{Session, Writer},
+        sync::Running,
     },
     jayspread_schema::wire::{Beat, Hello, Pull, Role, Update, ask, reply},
     quinn::RecvStream,
@@ -36,6 +37,7 @@
         let shared = Arc::clone(&self.shared);
         let session = session.clone();
         tokio::spawn(async move {
+            let _running = Running::new(&shared.pulling);
             let revision = lock(&shared.projection).config.revision();
             let pull = Pull {
                 revision,
@@ -47,7 +49,6 @@
                 Ok(_) => metrics::count(&shared.metrics.malformed, "update"),
                 Err(cause) => event!(Debug, "pull_failed", reason = cause),
             }
-            shared.pulling.store(false, Ordering::Release);
         });
     }
 
--- a/crates/net/src/datagram.rs
+++ b/crates/net/src/datagram.rs
@@ -1,7 +1,7 @@
 //! UDP datagrams between the processes of a deployment.
 
 use {
-    crate::event,
+    crate::{event, panic},
     jayspread_schema::peer::{Member, Packet, Role, packet::Body},
     prometheus_client::metrics::counter::Counter,
     prost::Message,
@@ -118,7 +118,13 @@
         let mut buffer = Vec::new();
         loop {
             match self.receive(&mut buffer).await {
-                Ok(packet) => on_packet(packet),
+                Ok(packet) => {
+                    let host = packet.host.clone();
+                    if let Err(panic) = panic::catch(|| on_packet(packet)) {
+                        malformed.inc();
+                        event!(Error, "datagram_panicked", host = host, reason = panic);
+                    }
+                }
                 Err(cause) if cause.kind() == io::ErrorKind::InvalidData => {
                     malformed.inc();
                     event!(Warn, "datagram_malformed", reason = cause);
