Answer requests whose handling panics

What callers saw: the connection closed with neither an answer nor a refusal. A panic in the middle of a stream was logged as a caller that had left.

Cause: the panic unwound through hyper's task of the connection, which dropped it with the request.

Ruled out: 503 for all of them. The engine may have the request, and the caller would send it again.

Change: front::connection serves one connection (moved from listener.rs, so that tests can run it with a handler of their own). A panic before the request was accepted is answered 503 with Retry-After; a later one 503 only if Call proves that no engine can have run the request, otherwise 502. A panic in the middle of a stream ends the body with an error, so that the connection closes without its last chunk. event=panicked has the request id, the engine and the message.

Why it works: the future that panicked is dropped, and with it the permit, the attempt and the reservation; Exchange stays, so that its state decides.

--- a/crates/entry/src/front/body.rs
+++ b/crates/entry/src/front/body.rs
@@ -5,6 +5,7 @@
     futures_util::stream,
     http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
     hyper::body::Frame,
+    jayspread_net::panic::{self, Panic},
     std::{convert::Infallible, fmt},
 };
 
@@ -35,6 +36,9 @@
 pub trait Source: Send + 'static {
     /// Returns the next chunk, or `None` at the end of the body.
     fn next(&mut self) -> impl Future<Output = Option<Result<Bytes, Aborted>>> + Send;
+
+    /// Records that [`Source::next`] panicked, which aborts the body.
+    fn record_panic(&mut self, panic: &Panic);
 }
 
 /// A body that starts with `first` and polls `source` as the caller reads; dropping the body drops
@@ -44,7 +48,13 @@
     let frames = stream::unfold(state, |(first, mut source)| async move {
         let chunk = match first {
             Some(first) => Ok(first),
-            None => source.next().await?,
+            None => match panic::catch_async(source.next()).await {
+                Ok(chunk) => chunk?,
+                Err(panic) => {
+                    source.record_panic(&panic);
+                    Err(Aborted)
+                }
+            },
         };
         Some((chunk.map(Frame::data), (None, source)))
     });
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -22,7 +22,7 @@
         quarantine::Part,
         sse,
     },
-    jayspread_net::clock,
+    jayspread_net::{clock, panic::Panic, telemetry::Value},
     jayspread_platform::header as wire,
     std::{
         sync::{Arc, atomic::Ordering},
@@ -101,21 +101,13 @@
     fn drop(&mut self) {
         self.state.in_flight.fetch_sub(1, Ordering::AcqRel);
         if self.trace.is_some() {
-            let panicked = thread::panicking();
-            let event = if panicked {
+            if thread::panicking() {
                 metrics::count(&self.state.metrics.failed, "panicked");
-                "panicked"
+                self.end("panicked", "none");
             } else {
                 self.state.metrics.disconnected.inc();
-                "caller_left"
-            };
-            let (after, sends) = (self.elapsed().as_millis(), self.call.sends());
-            let engine = self.tried.last().cloned().unwrap_or_else(|| "none".into());
-            self.trace_event(
-                event,
-                format_args!("after_ms={after} sends={sends} engine={engine}"),
-            );
-            self.finish_trace(panicked);
+                self.end("caller_left", "none");
+            }
         }
     }
 }
@@ -162,6 +154,26 @@
         self.finish_trace(true);
     }
 
+    /// Records that handling the request panicked; returns the problem to respond with if the
+    /// response has not begun.
+    pub fn record_panic(&mut self, panic: &Panic) -> Problem {
+        metrics::count(&self.state.metrics.failed, "panicked");
+        self.end("panicked", &panic.to_string());
+        Problem::panicked(&self.call)
+    }
+
+    /// Ends the trace of a request that got no complete response.
+    fn end(&mut self, event: &str, reason: &str) {
+        let (after, sends) = (self.elapsed().as_millis(), self.call.sends());
+        let engine = self.tried.last().cloned().unwrap_or_else(|| "none".into());
+        let reason = Value(&reason);
+        self.trace_event(
+            event,
+            format_args!("after_ms={after} sends={sends} engine={engine} reason={reason}"),
+        );
+        self.finish_trace(event != "caller_left");
+    }
+
     /// Chooses an engine; waits for a limited time while all are busy.
     async fn acquire_engine(&mut self) -> Result<Choice, Refusal> {
         let is_first_try = !self.is_caller_retry && self.call.sends() == 0;
--- a/crates/entry/src/front/listener.rs
+++ b/crates/entry/src/front/listener.rs
@@ -1,31 +1,24 @@
 //! Listening ports for callers and for the health checks of the platform's load balancer.
 
 use {
-    crate::front::{relay, state::State},
+    crate::front::{
+        connection::{self, MIN_HEADER_BUFFER_BYTES, Settings},
+        relay,
+        state::State,
+    },
     http::{Request, Response, StatusCode},
     http_body_util::Empty,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     jayspread_core::restart::Policy,
-    jayspread_net::{admin::View, channel, clock, event, task::Supervisor},
-    std::{
-        convert::Infallible,
-        io,
-        net::SocketAddr,
-        sync::{
-            Arc, Mutex,
-            atomic::{AtomicUsize, Ordering},
-        },
-        time::{Duration, Instant},
-    },
+    jayspread_net::{admin::View, channel, event, task::Supervisor},
+    std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         time,
     },
 };
 
-/// Smallest header buffer that hyper accepts.
-const MIN_HEADER_BUFFER_BYTES: usize = 8 << 10;
 /// Idle timeout of a caller's connection while no configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Pause after a failed `accept`, to let file descriptors become free.
@@ -98,86 +91,23 @@
     }
 }
 
-/// Tracks whether a connection is idle.
-struct Activity {
-    in_flight: AtomicUsize,
-    last_active: Mutex<Instant>,
-}
-
-impl Activity {
-    fn new() -> Arc<Self> {
-        Arc::new(Self {
-            in_flight: AtomicUsize::new(0),
-            last_active: Mutex::new(clock::now()),
-        })
-    }
-
-    fn touch(&self) {
-        *crate::shared::lock(&self.last_active) = clock::now();
-    }
-
-    /// Time at which the idle timeout expires; `None` while a request is in flight.
-    fn expiry(&self, idle_timeout: Duration) -> Option<Instant> {
-        if self.in_flight.load(Ordering::Acquire) > 0 {
-            return None;
-        }
-        Some(*crate::shared::lock(&self.last_active) + idle_timeout)
-    }
-}
-
 async fn serve_caller(stream: TcpStream, state: Arc<State>) {
-    let activity = Activity::new();
-    let mut stopping = state.stopping.subscribe();
     let catalog = state.catalog();
-    let max_header_bytes = catalog.as_ref().map_or(MIN_HEADER_BUFFER_BYTES, |catalog| {
-        catalog.limits.max_head_bytes
-    });
-    let service = service_fn({
-        let (state, activity) = (Arc::clone(&state), Arc::clone(&activity));
-        move |request| {
-            let (state, activity) = (Arc::clone(&state), Arc::clone(&activity));
-            async move {
-                activity.in_flight.fetch_add(1, Ordering::AcqRel);
-                let response = relay::serve(state, request).await;
-                activity.in_flight.fetch_sub(1, Ordering::AcqRel);
-                activity.touch();
-                Ok::<_, Infallible>(response)
-            }
-        }
-    });
-    let already_stopping = *stopping.borrow_and_update();
-    let connection = http1::Builder::new()
-        .keep_alive(!already_stopping)
-        .auto_date_header(false)
-        .max_buf_size(max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let mut closing = already_stopping;
-    loop {
-        let idle_timeout = state
-            .catalog()
-            .map_or(DEFAULT_IDLE_TIMEOUT, |catalog| catalog.limits.idle_timeout);
-        let expiry = activity.expiry(idle_timeout);
-        let wake_at = expiry.unwrap_or_else(|| clock::now() + idle_timeout);
-        tokio::select! {
-            result = connection.as_mut() => {
-                if let Err(cause) = result {
-                    event!(Debug, "caller_connection_ended", reason = cause);
-                }
-                return;
-            }
-            _ = stopping.changed(), if !closing => {
-                closing = true;
-                connection.as_mut().graceful_shutdown();
-            }
-            () = time::sleep_until(wake_at.into()), if !closing => {
-                if activity.expiry(idle_timeout).is_some_and(|expiry| expiry <= clock::now()) {
-                    closing = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
-        }
-    }
+    let settings = Settings {
+        max_header_bytes: catalog.map_or(MIN_HEADER_BUFFER_BYTES, |catalog| {
+            catalog.limits.max_head_bytes
+        }),
+        idle_timeout: || {
+            state
+                .catalog()
+                .map_or(DEFAULT_IDLE_TIMEOUT, |catalog| catalog.limits.idle_timeout)
+        },
+        shutdown: state.shutdown.subscribe(),
+    };
+    connection::serve(stream, settings, |request| {
+        relay::serve(Arc::clone(&state), request)
+    })
+    .await;
 }
 
 /// Answers health checks: 200 if this host accepts new connections, otherwise 503.
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -1,19 +1,20 @@
 //! Entry host on the users' platform: an HTTP proxy that sends callers' requests to engines.
 //!
-//! `listener` accepts connections, `relay` handles requests, and `exchange` sends them to engines
+//! `listener` accepts connections, `connection` serves them, `relay` handles requests, and `exchange` sends them to engines
 //! through `upstream`; `attempt` finds out whether an engine crashed on one. `watch` follows the platform's store, and `records` applies what it says;
 //! `gossip` and `peers` communicate with the other processes. `quarantine` keeps requests from
 //! engines that their prompts would crash.
 
 mod attempt;
-mod body;
+pub mod body;
+pub mod connection;
 mod exchange;
 mod gossip;
 mod listener;
 mod metrics;
 mod peers;
 mod pool;
-mod problem;
+pub mod problem;
 mod process;
 mod quarantine;
 mod records;
--- a/crates/entry/src/front/problem.rs
+++ b/crates/entry/src/front/problem.rs
@@ -3,11 +3,15 @@
 use {
     crate::front::body::{Body, full},
     http::{HeaderValue, Response, StatusCode, header},
+    jayspread_core::call::Call,
     jayspread_platform::header as wire,
     serde_json::json,
     std::time::Duration,
 };
 
+/// Retry delay suggested to a caller whose request was not executed because its handling panicked.
+pub const PANIC_RETRY_AFTER: Duration = Duration::from_millis(150);
+
 /// An error response, sent as a problem document (RFC 9457).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Problem {
@@ -50,6 +54,15 @@
         Self::rejected(StatusCode::GATEWAY_TIMEOUT, "deadline")
     }
 
+    /// Creates a problem for a request whose handling panicked: 503 only if its state proves that it
+    /// was not executed, otherwise 502.
+    pub fn panicked(call: &Call) -> Self {
+        if call.not_run() {
+            return Self::unavailable("panicked", PANIC_RETRY_AFTER);
+        }
+        Self::bad_gateway("panicked")
+    }
+
     /// Builds the response, with the caller's request id if it is known.
     pub fn into_response(self, request_id: Option<&str>) -> Response<Body> {
         let ran = match self.status {
--- a/crates/entry/src/front/process.rs
+++ b/crates/entry/src/front/process.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        front::{gossip, listener::Listener, peers, quarantine, state::State, watch},
+        front::{
+            connection::Shutdown, gossip, listener::Listener, peers, quarantine, state::State,
+            watch,
+        },
         shared::lock,
     },
     jayspread_core::restart::Policy,
@@ -150,7 +153,7 @@
         let refuse_from = started + ACCEPT_PERIOD.min(grace / 2);
         // `close` consumes the process, so the value is set only once.
         let _ = self.state.refuse_from.set(refuse_from);
-        self.state.stopping.send_replace(true);
+        self.state.shutdown.send_replace(Shutdown::Stopping);
         gossip::tell_region(&self.state);
         self.state.heartbeat_due.notify_one();
         let is_busy = || in_flight() > 0 || lock(&self.state.quarantine).has_unchecked();
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -5,7 +5,7 @@
         front::{
             body::{Body, full},
             exchange::Exchange,
-            problem::Problem,
+            problem::{PANIC_RETRY_AFTER, Problem},
             state::State,
             stream::Stream,
             trace::Trace,
@@ -22,7 +22,7 @@
         outlier::Outcome,
         quarantine::{self, Part},
     },
-    jayspread_net::{body, clock},
+    jayspread_net::{body, clock, event, panic},
     jayspread_platform::header as wire,
     std::{
         sync::{Arc, atomic::Ordering},
@@ -45,7 +45,18 @@
     let (parts, incoming) = request.into_parts();
     let request = wire::parse_request(&parts.headers);
     let request_id = request.as_ref().map(|request| request.id.clone());
-    match accept(state.clone(), parts, incoming, request, arrived).await {
+    let accepting = accept(state.clone(), parts, incoming, request, arrived);
+    let accepted = panic::catch_async(accepting).await.unwrap_or_else(|panic| {
+        event!(
+            Error,
+            "request_panicked",
+            request = request_id.as_deref().unwrap_or("none"),
+            message = panic
+        );
+        // Nothing was sent yet.
+        Err(Problem::unavailable("panicked", PANIC_RETRY_AFTER))
+    });
+    match accepted {
         Ok(exchange) => exchange.run().await,
         Err(problem) => {
             metrics::count(&state.metrics.failed, problem.reason);
@@ -212,26 +223,35 @@
 
 impl Exchange {
     async fn run(mut self) -> Response<Body> {
-        let result = if self.route.kind.is_stream() {
-            match self.start_stream().await {
-                Ok(Started::Stream(stream)) => return self.stream(*stream),
-                Ok(Started::Error(response)) => {
-                    let status = response.status().as_u16();
-                    self.complete("answered", format_args!("status={status}"));
-                    Ok(response)
-                }
-                Err(problem) => Err(problem),
+        let problem = match panic::catch_async(self.respond()).await {
+            Ok(Ok(Started::Stream(stream))) => {
+                let request_id = self.request.id.clone();
+                let response = panic::catch(|| self.stream(*stream));
+                return response.unwrap_or_else(|_| {
+                    Problem::bad_gateway("panicked").into_response(Some(&request_id))
+                });
             }
-        } else {
-            self.plain().await
-        };
-        match result {
-            Ok(response) => response,
-            Err(problem) => {
+            Ok(Ok(Started::Complete(response))) => return response,
+            Ok(Err(problem)) => {
                 self.fail(problem.reason);
-                problem.into_response(Some(&self.request.id))
+                problem
             }
+            Err(panic) => self.record_panic(&panic),
+        };
+        problem.into_response(Some(&self.request.id))
+    }
+
+    /// Sends the request until there is a complete response or a stream to relay.
+    async fn respond(&mut self) -> Result<Started, Problem> {
+        if !self.route.kind.is_stream() {
+            return self.plain().await.map(Started::Complete);
+        }
+        let started = self.start_stream().await?;
+        if let Started::Complete(response) = &started {
+            let status = response.status().as_u16();
+            self.complete("answered", format_args!("status={status}"));
         }
+        Ok(started)
     }
 
     /// Handles a request with a plain response. The response is buffered completely before it is
@@ -305,13 +325,13 @@
         loop {
             let upstream = match self.send().await {
                 Ok(upstream) => upstream,
-                Err(problem) => return fallback.map(Started::Error).ok_or(problem),
+                Err(problem) => return fallback.map(Started::Complete).ok_or(problem),
             };
             let engine = upstream.attempt.permit.reservation.id.clone();
             if !upstream.head.status.is_success() {
                 let error = self.error_response(upstream).await?;
                 if fallback.is_some() || !self.take_error_retry() {
-                    return Ok(Started::Error(error));
+                    return Ok(Started::Complete(error));
                 }
                 fallback = Some(error);
                 continue;
@@ -362,11 +382,11 @@
     }
 }
 
-/// Start of the response on a streaming route.
+/// What there is to send to the caller.
 enum Started {
     Stream(Box<Stream>),
-    /// An engine's own error response.
-    Error(Response<Body>),
+    /// A complete response; on a streaming route, an engine's own error response.
+    Complete(Response<Body>),
 }
 
 /// Builds the response to the caller from an engine's status, headers and body.
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        front::{metrics::Metrics, peers::News, pool::Pool},
+        front::{connection::Shutdown, metrics::Metrics, peers::News, pool::Pool},
         shared::lock,
     },
     jayspread_core::{
@@ -181,8 +181,8 @@
     /// End of the grace period after a store outage, during which engines missing from the list may
     /// be listed again.
     pub grace_until: Mutex<Option<Instant>>,
-    /// Set to true when the process begins to stop.
-    pub stopping: watch::Sender<bool>,
+    /// Progress of the shutdown.
+    pub shutdown: watch::Sender<Shutdown>,
     /// Time from which a stopping process refuses requests.
     pub refuse_from: OnceLock<Instant>,
     /// Whether the list of engines has been read at least once.
@@ -230,7 +230,7 @@
             passed_on: Mutex::default(),
             failing_topics: AtomicUsize::new(0),
             grace_until: Mutex::default(),
-            stopping: watch::Sender::new(false),
+            shutdown: watch::Sender::default(),
             refuse_from: OnceLock::new(),
             has_engine_list: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -246,7 +246,7 @@
 
     /// Whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        *self.shutdown.borrow() >= Shutdown::Stopping
     }
 
     /// Whether the process is stopping and refuses new requests.
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -14,7 +14,7 @@
         outlier::Outcome,
         sse::{Event, Splitter},
     },
-    jayspread_net::{channel::Head, clock},
+    jayspread_net::{channel::Head, clock, panic::Panic},
     std::time::{Duration, Instant},
     tokio::time,
 };
@@ -223,6 +223,10 @@
 }
 
 impl Source for Relay {
+    fn record_panic(&mut self, panic: &Panic) {
+        self.exchange.record_panic(panic);
+    }
+
     async fn next(&mut self) -> Option<Result<Bytes, Aborted>> {
         let gap_target = self.exchange.route.gap_target.unwrap_or(DEFAULT_GAP_TARGET);
         loop {
