Measure the idle time of a connection by the timeout in effect

What callers saw: a connection closed although its idle time was within the configuration's limit: beside a change of the configuration, and right after a stream that took longer than the timeout.

Cause: the idle timeout was read before the sleep and used after it, so that one which had grown meanwhile did not count. And a request counted as in flight only until the head of its response, so that the idle time began during the stream.

Ruled out: waking all connections on each configuration. A timeout that shrinks closes connections later than it might, which callers don't notice.

Change: the timeout is read again after the sleep. The guard that counts a request as in flight belongs to the response's body.

--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -3,6 +3,7 @@
 use {
     crate::front::{body::Body, problem::Problem},
     http::{Request, Response},
+    http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     jayspread_net::{clock, event, panic, sync::lock},
@@ -63,7 +64,7 @@
     }
 }
 
-/// Counts a request as in flight until its response has begun.
+/// Counts a request as in flight until its response has been sent or dropped.
 struct InFlight(Arc<Activity>);
 
 impl InFlight {
@@ -97,8 +98,14 @@
                 event!(Error, "handler_panicked", message = panic);
                 Problem::bad_gateway("panicked").into_response(None)
             });
-            drop(in_flight);
-            Ok::<_, Infallible>(response)
+            // The closure owns the guard, so the request is in flight until the body is dropped.
+            Ok::<_, Infallible>(response.map(|body| {
+                body.map_err(move |aborted| {
+                    let _ = &in_flight;
+                    aborted
+                })
+                .boxed_unsync()
+            }))
         }
     });
     let mut closing = *shutdown.borrow_and_update() >= Shutdown::Stopping;
@@ -127,7 +134,8 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = time::sleep_until(wake_at.into()), if !closing => {
-                let expiry = activity.expiry(idle_timeout);
+                // The timeout may have changed during the sleep.
+                let expiry = activity.expiry((settings.idle_timeout)());
                 if expiry.is_some_and(|expiry| expiry <= clock::now()) {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
--- a/crates/entry/tests/connection.rs
+++ b/crates/entry/tests/connection.rs
@@ -1,8 +1,8 @@
-//! Tests of callers' connections whose requests panic.
+//! Tests of callers' connections whose requests panic, and of their idle timeout.
 
 use {
     bytes::Bytes,
-    http::StatusCode,
+    http::{Response, StatusCode},
     http_body_util::BodyExt,
     jayspread_core::{
         call::{Call, Event},
@@ -18,19 +18,30 @@
         panic::Panic,
     },
     rstest::rstest,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
-        net::TcpListener,
+        io::AsyncReadExt,
+        net::{TcpListener, TcpStream},
         sync::{mpsc, watch},
+        time,
     },
 };
 
 const TIMEOUT: Duration = Duration::from_secs(5);
+const STREAM_TIME: Duration = Duration::from_millis(400);
 const MAX_RESPONSE_BYTES: usize = 1 << 10;
 
 /// Server of one connection; its handler panics for the path `/panic`.
 struct Server {
     address: SocketAddr,
+    idle_ms: Arc<AtomicU64>,
     /// Kept, since connections end with it.
     _shutdown: watch::Sender<Shutdown>,
 }
@@ -40,21 +51,27 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
         let address = listener.local_addr().expect("is bound");
         let shutdown = watch::Sender::default();
+        let idle_ms = Arc::new(AtomicU64::new(idle_timeout.as_millis() as u64));
+        let ms = Arc::clone(&idle_ms);
         let settings = Settings {
             max_header_bytes: 0,
-            idle_timeout: move || idle_timeout,
+            idle_timeout: move || Duration::from_millis(ms.load(Ordering::Relaxed)),
             shutdown: shutdown.subscribe(),
         };
         tokio::spawn(async move {
             let (stream, _) = listener.accept().await.expect("accepts");
             connection::serve(stream, settings, |request| async move {
                 assert_ne!(request.uri().path(), "/panic", "value that panics");
+                if request.uri().path() == "/late" {
+                    return Response::new(body::streaming(Bytes::new(), Late(true)));
+                }
                 Problem::rejected(StatusCode::NOT_FOUND, "no_route").into_response(None)
             })
             .await;
         });
         Self {
             address,
+            idle_ms,
             _shutdown: shutdown,
         }
     }
@@ -94,6 +111,37 @@
     }
 }
 
+/// Source of a body that ends after [`STREAM_TIME`].
+struct Late(bool);
+
+impl Source for Late {
+    async fn next(&mut self) -> Option<Result<Bytes, Aborted>> {
+        time::sleep(STREAM_TIME).await;
+        std::mem::take(&mut self.0).then(|| Ok(Bytes::from_static(b"end")))
+    }
+
+    fn record_panic(&mut self, panic: &Panic) {
+        unreachable!("{panic}")
+    }
+}
+
+/// Guards against a connection that is closed at the end of a stream which took longer than the idle
+/// timeout.
+#[tokio::test]
+async fn idle_time_begins_at_the_end_of_a_stream() {
+    let server = Server::open(STREAM_TIME).await;
+    let mut client = Client::new(server.address, TIMEOUT);
+    let status = server.status(&mut client, "/late").await;
+    assert_eq!(status, Some(StatusCode::OK));
+    time::sleep(STREAM_TIME / 4).await;
+    let status = server.status(&mut client, "/other").await;
+    assert_eq!(
+        status,
+        Some(StatusCode::NOT_FOUND),
+        "on the same connection"
+    );
+}
+
 /// Guards against a stream that looks complete, or is logged as one whose caller left, after a panic
 /// in the middle of it.
 #[tokio::test]
@@ -129,3 +177,15 @@
     let refused = status == StatusCode::SERVICE_UNAVAILABLE;
     assert_eq!(problem.retry_after.is_some(), refused);
 }
+
+/// Guards against a connection that is closed by the idle timeout of an older configuration.
+#[tokio::test]
+async fn idle_timeout_that_grows_applies_to_a_connection_that_is_idle_already() {
+    let server = Server::open(Duration::from_millis(300)).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("connects");
+    time::sleep(Duration::from_millis(100)).await;
+    server.idle_ms.store(60_000, Ordering::Relaxed);
+    let mut buffer = [0; 1];
+    let read = time::timeout(Duration::from_millis(600), stream.read(&mut buffer));
+    assert!(read.await.is_err(), "closed by the former timeout");
+}
