Log what ended a request

What operators saw: a request without an answer was logged as caller_left, whether its caller had closed the connection, writing to the caller had failed, or the process had cut it off at its shutdown; the end of the connection was logged at a level that is off by default.

Cause: Drop of Exchange could not know why it was dropped.

Ruled out: logging the end of each connection at Info. Most ends belong to no request.

Change: the connection stores the reason of its end before its requests are dropped, and Exchange reads it from the request's extensions: events caller_unreachable (with the error), cut_off, caller_left, panicked. The metric ends counts answered, refused, failed, caller_left, caller_unreachable, cut_off and panicked; event=failed says ran=no or ran=unknown. caller_connection_ended is logged at Info if a request was in flight. At the end of the grace period the process closes its connections and waits at most 100 ms for these lines. explain knows the new events. The metric left counts no resets any more.

Why it works: hyper returns the error while it still holds the request and the body, so the reason is set before they are dropped.

--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -221,6 +221,12 @@
             end.get("status").unwrap_or("unknown")
         ),
         "caller_left" => format!("its caller left {} ms after it came", elapsed(end)),
+        "caller_unreachable" => format!(
+            "the connection to its caller failed {} ms after it came: {reason}",
+            elapsed(end)
+        ),
+        "cut_off" => format!("{host} shut down {} ms after it came", elapsed(end)),
+        "panicked" => format!("{host} failed to handle it after {sent} sends: panic: {reason}"),
         "answered" | "streamed" if broke.is_some() => format!(
             "its stream broke and was resumed at {last_engine}; it ended whole after {} ms",
             elapsed(end)
@@ -243,7 +249,14 @@
 fn is_end(line: &Line) -> bool {
     matches!(
         &*line.event,
-        "rejected" | "failed" | "answered" | "streamed" | "caller_left"
+        "rejected"
+            | "failed"
+            | "answered"
+            | "streamed"
+            | "caller_left"
+            | "caller_unreachable"
+            | "cut_off"
+            | "panicked"
     )
 }
 
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -1,16 +1,18 @@
-//! One connection of a caller: its requests and its idle timeout.
+//! One connection of a caller: its requests, its idle timeout and its end.
 
 use {
     crate::front::{body::Body, problem::Problem},
     http::{Request, Response},
     http_body_util::BodyExt,
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{Error, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     jayspread_net::{clock, event, panic, sync::lock},
     std::{
         convert::Infallible,
+        error::Error as _,
+        fmt,
         sync::{
-            Arc, Mutex,
+            Arc, Mutex, OnceLock,
             atomic::{AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
@@ -29,6 +31,43 @@
     None,
     /// Connections are closed after their current request.
     Stopping,
+    /// Connections are closed at once.
+    CutOff,
+}
+
+/// Why a connection ended while its requests were in flight.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reason {
+    /// The connection to the caller failed.
+    Failed(Box<str>),
+    /// The process shut down.
+    CutOff,
+}
+
+impl Reason {
+    /// Event of a request that ends for this reason, and its cause.
+    pub fn describe(&self) -> (&'static str, &str) {
+        match self {
+            Reason::Failed(cause) => ("caller_unreachable", cause),
+            Reason::CutOff => ("cut_off", "shutdown"),
+        }
+    }
+}
+
+/// End of a connection; an extension of its requests. It is empty if the caller closed it.
+#[derive(Debug, Clone, Default)]
+pub struct Ending(Arc<OnceLock<Reason>>);
+
+impl Ending {
+    /// Why the connection ended; `None` while it is open and if the caller closed it.
+    pub fn reason(&self) -> Option<&Reason> {
+        self.0.get()
+    }
+
+    fn set(&self, reason: Reason) {
+        // Only the first reason ends a connection.
+        let _ = self.0.set(reason);
+    }
 }
 
 /// How connections are served.
@@ -89,9 +128,11 @@
     F: Future<Output = Response<Body>>,
 {
     let activity = Activity::new();
+    let ending = Ending::default();
     let mut shutdown = settings.shutdown;
-    let service = service_fn(|request: Request<Incoming>| {
+    let service = service_fn(|mut request: Request<Incoming>| {
         let in_flight = InFlight::new(&activity);
+        request.extensions_mut().insert(ending.clone());
         let response = async { handler(request).await };
         async move {
             let response = panic::catch_async(response).await.unwrap_or_else(|panic| {
@@ -122,12 +163,13 @@
         tokio::select! {
             result = connection.as_mut() => {
                 if let Err(cause) = result {
-                    event!(Debug, "caller_connection_ended", reason = cause);
+                    report_end(&cause, &activity, &ending);
                 }
                 return;
             }
             changed = shutdown.changed() => {
-                if changed.is_err() {
+                if changed.is_err() || *shutdown.borrow_and_update() == Shutdown::CutOff {
+                    ending.set(Reason::CutOff);
                     return;
                 }
                 closing = true;
@@ -144,3 +186,38 @@
         }
     }
 }
+
+/// Logs the end of a connection, and tells it to the requests that it ends.
+fn report_end(cause: &Error, activity: &Activity, ending: &Ending) {
+    let in_flight = activity.in_flight.load(Ordering::Acquire);
+    let reason = Chain(cause).to_string();
+    if in_flight == 0 {
+        event!(Debug, "caller_connection_ended", reason = reason);
+        return;
+    }
+    event!(
+        Info,
+        "caller_connection_ended",
+        in_flight = in_flight,
+        reason = reason
+    );
+    // Incomplete: the caller closed the connection. User: the response was aborted.
+    if !cause.is_incomplete_message() && !cause.is_user() {
+        ending.set(Reason::Failed(reason.into()));
+    }
+}
+
+/// An error with its causes.
+struct Chain<'a>(&'a Error);
+
+impl fmt::Display for Chain<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)?;
+        let mut source = self.0.source();
+        while let Some(cause) = source {
+            write!(f, ": {cause}")?;
+            source = cause.source();
+        }
+        Ok(())
+    }
+}
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -4,6 +4,7 @@
     crate::{
         front::{
             attempt::Subject,
+            connection::Ending,
             problem::Problem,
             state::State,
             trace::Trace,
@@ -101,13 +102,13 @@
     fn drop(&mut self) {
         self.state.in_flight.fetch_sub(1, Ordering::AcqRel);
         if self.trace.is_some() {
-            if thread::panicking() {
-                metrics::count(&self.state.metrics.failed, "panicked");
-                self.end("panicked", "none");
-            } else {
-                self.state.metrics.disconnected.inc();
-                self.end("caller_left", "none");
-            }
+            let ending = self.parts.extensions.get::<Ending>().cloned();
+            let (event, cause) = match ending.as_ref().and_then(Ending::reason) {
+                _ if thread::panicking() => ("panicked", "none"),
+                Some(reason) => reason.describe(),
+                None => ("caller_left", "none"),
+            };
+            self.end(event, cause);
         }
     }
 }
@@ -140,6 +141,7 @@
     pub fn complete(&mut self, event: &str, fields: std::fmt::Arguments<'_>) {
         self.call.handle(Event::Done);
         self.state.metrics.completed.inc();
+        metrics::count(&self.state.metrics.ends, "answered");
         self.trace_event(event, fields);
         self.finish_trace(false);
     }
@@ -147,9 +149,16 @@
     /// Marks the request as failed.
     pub fn fail(&mut self, reason: &'static str) {
         metrics::count(&self.state.metrics.failed, reason);
+        let (end, ran) = if self.call.not_run() {
+            ("refused", "no")
+        } else {
+            ("failed", "unknown")
+        };
+        metrics::count(&self.state.metrics.ends, end);
+        let after = self.elapsed().as_millis();
         self.trace_event(
             "failed",
-            format_args!("reason={reason} after_ms={}", self.elapsed().as_millis()),
+            format_args!("reason={reason} after_ms={after} ran={ran}"),
         );
         self.finish_trace(true);
     }
@@ -157,7 +166,6 @@
     /// Records that handling the request panicked; returns the problem to respond with if the
     /// response has not begun.
     pub fn record_panic(&mut self, panic: &Panic) -> Problem {
-        metrics::count(&self.state.metrics.failed, "panicked");
         self.end("panicked", &panic.to_string());
         Problem::panicked(&self.call)
     }
@@ -171,6 +179,12 @@
             event,
             format_args!("after_ms={after} sends={sends} engine={engine} reason={reason}"),
         );
+        metrics::count(&self.state.metrics.ends, event);
+        if event == "caller_left" {
+            self.state.metrics.disconnected.inc();
+        } else {
+            metrics::count(&self.state.metrics.failed, event);
+        }
         self.finish_trace(event != "caller_left");
     }
 
--- a/crates/entry/src/front/metrics.rs
+++ b/crates/entry/src/front/metrics.rs
@@ -18,6 +18,9 @@
     pub completed: Counter,
     /// Error responses of this process and aborted responses, by reason.
     pub failed: Family<Reason, Counter>,
+    /// Ends of requests, by result: answered, refused (no engine has run it), failed, caller_left,
+    /// caller_unreachable, cut_off or panicked.
+    pub ends: Family<Reason, Counter>,
     /// Attempts at engines, by result.
     pub attempts: Family<Reason, Counter>,
     /// Attempts beyond the first of each request.
@@ -70,6 +73,7 @@
             requests: Counter::default(),
             completed: Counter::default(),
             failed: Family::default(),
+            ends: Family::default(),
             attempts: Family::default(),
             retries: Counter::default(),
             resumed: Counter::default(),
@@ -104,6 +108,7 @@
         r.register("requests", "Requests received", self.requests.clone());
         r.register("whole", "Answers passed on whole", self.completed.clone());
         r.register("failed", "Refused and failed requests", self.failed.clone());
+        r.register("ends", "Ends of requests by result", self.ends.clone());
         r.register("sends", "Sends to engines by result", self.attempts.clone());
         r.register("repeats", "Sends beyond the first", self.retries.clone());
         r.register("resumed", "Streams resumed", self.resumed.clone());
--- a/crates/entry/src/front/process.rs
+++ b/crates/entry/src/front/process.rs
@@ -39,6 +39,11 @@
 /// Interval between checks whether all requests have finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Maximum time for which connections are awaited that are closed at once.
+const CUT_OFF_TIME: Duration = Duration::from_millis(100);
+/// Interval between checks whether they are closed.
+const CUT_OFF_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Startup error.
 #[derive(Debug)]
 pub enum Error {
@@ -169,6 +174,11 @@
         );
         quarantine::flush(&self.state);
         self.callers.close();
+        self.state.shutdown.send_replace(Shutdown::CutOff);
+        let cut_off_deadline = clock::now() + CUT_OFF_TIME;
+        while in_flight() > 0 && clock::now() < cut_off_deadline {
+            time::sleep(CUT_OFF_POLL_INTERVAL).await;
+        }
         self.balancer.close();
         self.peers.close();
         self.admin.close();
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -60,6 +60,7 @@
         Ok(exchange) => exchange.run().await,
         Err(problem) => {
             metrics::count(&state.metrics.failed, problem.reason);
+            metrics::count(&state.metrics.ends, "refused");
             let mut trace = Trace::new(request_id.as_deref().unwrap_or("none"), 1);
             trace.add(
                 "rejected",
--- a/crates/entry/tests/connection.rs
+++ b/crates/entry/tests/connection.rs
@@ -10,7 +10,7 @@
     },
     jayspread_entry::front::{
         body::{self, Aborted, Source},
-        connection::{self, Settings, Shutdown},
+        connection::{self, Ending, Reason, Settings, Shutdown},
         problem::Problem,
     },
     jayspread_net::{
@@ -27,7 +27,7 @@
         time::Duration,
     },
     tokio::{
-        io::AsyncReadExt,
+        io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         sync::{mpsc, watch},
         time,
@@ -37,21 +37,33 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 const STREAM_TIME: Duration = Duration::from_millis(400);
 const MAX_RESPONSE_BYTES: usize = 1 << 10;
+const REQUEST: &[u8] = b"GET /slow HTTP/1.1\r\nHost: test\r\n\r\n";
 
-/// Server of one connection; its handler panics for the path `/panic`.
+/// Server of one connection; its handler panics for the path `/panic`, and never answers `/slow`.
 struct Server {
     address: SocketAddr,
     idle_ms: Arc<AtomicU64>,
-    /// Kept, since connections end with it.
-    _shutdown: watch::Sender<Shutdown>,
+    shutdown: watch::Sender<Shutdown>,
+    /// Endings of the connection, as the dropped requests for `/slow` see them.
+    endings: mpsc::UnboundedReceiver<Option<Reason>>,
+}
+
+/// A request that reports the ending of its connection when it is dropped.
+struct Pending(Ending, mpsc::UnboundedSender<Option<Reason>>);
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        let _ = self.1.send(self.0.reason().cloned());
+    }
 }
 
 impl Server {
     async fn open(idle_timeout: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
         let address = listener.local_addr().expect("is bound");
-        let shutdown = watch::Sender::default();
         let idle_ms = Arc::new(AtomicU64::new(idle_timeout.as_millis() as u64));
+        let shutdown = watch::Sender::default();
+        let (sender, endings) = mpsc::unbounded_channel();
         let ms = Arc::clone(&idle_ms);
         let settings = Settings {
             max_header_bytes: 0,
@@ -60,19 +72,28 @@
         };
         tokio::spawn(async move {
             let (stream, _) = listener.accept().await.expect("accepts");
-            connection::serve(stream, settings, |request| async move {
-                assert_ne!(request.uri().path(), "/panic", "value that panics");
-                if request.uri().path() == "/late" {
-                    return Response::new(body::streaming(Bytes::new(), Late(true)));
+            connection::serve(stream, settings, |request| {
+                let ending = request.extensions().get::<Ending>().cloned();
+                let pending = Pending(ending.expect("is set"), sender.clone());
+                async move {
+                    assert_ne!(request.uri().path(), "/panic", "value that panics");
+                    if request.uri().path() == "/slow" {
+                        let _pending = pending;
+                        std::future::pending::<()>().await;
+                    }
+                    if request.uri().path() == "/late" {
+                        return Response::new(body::streaming(Bytes::new(), Late(true)));
+                    }
+                    Problem::rejected(StatusCode::NOT_FOUND, "no_route").into_response(None)
                 }
-                Problem::rejected(StatusCode::NOT_FOUND, "no_route").into_response(None)
             })
             .await;
         });
         Self {
             address,
             idle_ms,
-            _shutdown: shutdown,
+            shutdown,
+            endings,
         }
     }
 
@@ -80,6 +101,20 @@
         let answer = client.download(Request::get(path), TIMEOUT, MAX_RESPONSE_BYTES);
         answer.await.ok().map(|(head, _)| head.status)
     }
+
+    /// Sends a request that is never answered.
+    async fn send_slow(&self) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).await.expect("connects");
+        stream.write_all(REQUEST).await.expect("writes");
+        time::sleep(Duration::from_millis(100)).await;
+        stream
+    }
+
+    /// Ending of the connection of a request for `/slow`.
+    async fn ending(&mut self) -> Option<Reason> {
+        let ending = time::timeout(TIMEOUT, self.endings.recv()).await;
+        ending.expect("in time").expect("is sent")
+    }
 }
 
 /// Guards against a caller whose connection is closed with neither an answer nor a refusal, because
@@ -189,3 +224,33 @@
     let read = time::timeout(Duration::from_millis(600), stream.read(&mut buffer));
     assert!(read.await.is_err(), "closed by the former timeout");
 }
+
+/// Guards against a request that is logged as one whose caller left, when the process cut it off.
+#[tokio::test]
+async fn request_cut_off_by_the_shutdown_is_not_one_whose_caller_left() {
+    let mut server = Server::open(TIMEOUT).await;
+    let _stream = server.send_slow().await;
+    server.shutdown.send_replace(Shutdown::CutOff);
+    assert_eq!(server.ending().await, Some(Reason::CutOff));
+}
+
+/// Guards against a caller that leaves and is logged as a failed connection, or the other way round.
+#[rstest]
+#[case::closed(false)]
+#[case::reset(true)]
+#[tokio::test]
+async fn connection_that_fails_is_told_from_a_caller_that_leaves(#[case] reset: bool) {
+    let mut server = Server::open(TIMEOUT).await;
+    let stream = server.send_slow().await;
+    if reset {
+        stream.set_zero_linger().expect("is set");
+    }
+    drop(stream);
+    let ending = server.ending().await;
+    assert_eq!(
+        matches!(ending, Some(Reason::Failed(_))),
+        reset,
+        "{ending:?}"
+    );
+    assert_eq!(ending.is_none(), !reset);
+}
--- a/crates/entry/tests/explain.rs
+++ b/crates/entry/tests/explain.rs
@@ -57,7 +57,33 @@
 time=2026-12-04T11:00:01.251Z level=Info event=failed request=c0ffee reason=no_engine after_ms=1251
 ";
 
+const PANICKED: &str = "\
+time=2026-12-04T11:00:00.001Z level=Info event=sent request=c0ffee engine=i-1 send=1
+time=2026-12-04T11:00:00.251Z level=Info event=panicked request=c0ffee after_ms=251 sends=1 engine=i-1 reason=\"too large\"
+";
+
+const CUT_OFF: &str = "\
+time=2026-12-04T11:00:00.001Z level=Info event=sent request=c0ffee engine=i-1 send=1
+time=2026-12-04T11:00:00.251Z level=Info event=cut_off request=c0ffee after_ms=251 sends=1 engine=i-1 reason=shutdown
+";
+
+const UNREACHABLE: &str = "\
+time=2026-12-04T11:00:00.001Z level=Info event=sent request=c0ffee engine=i-1 send=1
+time=2026-12-04T11:00:00.251Z level=Info event=caller_unreachable request=c0ffee after_ms=251 sends=1 engine=i-1 reason=reset
+";
+
 #[rstest]
+#[case::panicked(
+    PANICKED,
+    "c0ffee",
+    "edge-1 failed to handle it after 1 sends: panic: too large"
+)]
+#[case::cut_off(CUT_OFF, "c0ffee", "edge-1 shut down 251 ms after it came")]
+#[case::caller_unreachable(
+    UNREACHABLE,
+    "c0ffee",
+    "the connection to its caller failed 251 ms after it came: reset"
+)]
 #[case::withdrawn(
     WITHDRAWN,
     "c0ffee",
