--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -4,6 +4,7 @@
     crate::{
         front::{
             attempt::Subject,
+            connection::Ending,
             flight::{self, Answer, Flight, Flights},
             problem::Problem,
             state::State,
@@ -24,7 +25,7 @@
         quarantine::Part,
         silence::{Awaited, Silence},
     },
-    jayspread_net::clock,
+    jayspread_net::{clock, panic::Panic, telemetry::Value},
     jayspread_platform::header as wire,
     std::{
         sync::{
@@ -102,21 +103,13 @@
     fn drop(&mut self) {
         self.state.in_flight.fetch_sub(1, Ordering::AcqRel);
         if self.trace.is_some() {
-            let panicked = thread::panicking();
-            let event = if panicked {
-                metrics::count(&self.state.metrics.failed, "panicked");
-                "panicked"
-            } else {
-                self.state.metrics.disconnected.inc();
-                "caller_left"
+            let ending = self.parts.extensions.get::<Ending>().cloned();
+            let (event, cause) = match ending.as_ref().and_then(Ending::reason) {
+                _ if thread::panicking() => ("panicked", "none"),
+                Some(reason) => reason.describe(),
+                None => ("caller_left", "none"),
             };
-            let (after, sends) = (self.elapsed().as_millis(), self.call.sends());
-            let engine = self.tried.last().cloned().unwrap_or_else(|| "none".into());
-            self.trace_event(
-                event,
-                format_args!("after_ms={after} sends={sends} engine={engine}"),
-            );
-            self.finish_trace(panicked);
+            self.end(event, cause);
         }
     }
 }
@@ -149,6 +142,7 @@
     pub fn complete(&mut self, event: &str, fields: std::fmt::Arguments<'_>) {
         self.call.handle(CallEvent::Done);
         self.state.metrics.completed.inc();
+        metrics::count(&self.state.metrics.ends, "answered");
         self.trace_event(event, fields);
         self.finish_trace(false);
     }
@@ -156,13 +150,45 @@
     /// Marks the request as failed.
     pub fn fail(&mut self, reason: &'static str) {
         metrics::count(&self.state.metrics.failed, reason);
+        let (end, ran) = if self.call.not_run() {
+            ("refused", "no")
+        } else {
+            ("failed", "unknown")
+        };
+        metrics::count(&self.state.metrics.ends, end);
+        let after = self.elapsed().as_millis();
         self.trace_event(
             "failed",
-            format_args!("reason={reason} after_ms={}", self.elapsed().as_millis()),
+            format_args!("reason={reason} after_ms={after} ran={ran}"),
         );
         self.finish_trace(true);
     }
 
+    /// Records that handling the request panicked; returns the problem to respond with if the
+    /// response has not begun.
+    pub fn record_panic(&mut self, panic: &Panic) -> Problem {
+        self.end("panicked", &panic.to_string());
+        Problem::panicked(&self.call)
+    }
+
+    /// Ends the trace of a request that got no complete response.
+    fn end(&mut self, event: &str, reason: &str) {
+        let (after, sends) = (self.elapsed().as_millis(), self.call.sends());
+        let engine = self.tried.last().cloned().unwrap_or_else(|| "none".into());
+        let reason = Value(&reason);
+        self.trace_event(
+            event,
+            format_args!("after_ms={after} sends={sends} engine={engine} reason={reason}"),
+        );
+        metrics::count(&self.state.metrics.ends, event);
+        if event == "caller_left" {
+            self.state.metrics.disconnected.inc();
+        } else {
+            metrics::count(&self.state.metrics.failed, event);
+        }
+        self.finish_trace(event != "caller_left");
+    }
+
     /// Chooses an engine, waiting for one for a limited time, and sends the request there.
     pub async fn start_attempt(&mut self) -> Result<Flight, Problem> {
         if self.remaining() < MIN_REMAINING {
--- a/crates/entry/src/front/listener.rs
+++ b/crates/entry/src/front/listener.rs
@@ -1,31 +1,24 @@
 //! Listening ports for callers and for the health checks of the platform's load balancer.
 
 use {
-    crate::front::{relay, state::State},
-    http::{HeaderValue, Request, Response, StatusCode, header},
+    crate::front::{
+        connection::{self, MIN_HEADER_BUFFER_BYTES, Settings},
+        relay,
+        state::State,
+    },
+    http::{Request, Response, StatusCode},
     http_body_util::Empty,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
-    jayspread_net::{admin::View, channel, clock, event},
-    std::{
-        convert::Infallible,
-        io,
-        net::SocketAddr,
-        sync::{
-            Arc, Mutex,
-            atomic::{AtomicUsize, Ordering},
-        },
-        time::{Duration, Instant},
-    },
+    jayspread_core::restart::Policy,
+    jayspread_net::{admin::View, channel, event, task::Supervisor},
+    std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        task::JoinHandle,
         time,
     },
 };
 
-/// Smallest header buffer that hyper accepts.
-const MIN_HEADER_BUFFER_BYTES: usize = 8 << 10;
 /// Idle timeout of a caller's connection while no configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Pause after a failed `accept`, to let file descriptors become free.
@@ -35,35 +28,53 @@
 
 /// A listening port and the task that accepts its connections.
 pub struct Listener {
-    task: JoinHandle<()>,
+    tasks: Supervisor,
 }
 
 impl Listener {
     /// Listens for callers' requests.
     pub async fn callers(address: SocketAddr, state: Arc<State>) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let task = tokio::spawn(accept(listener, move |stream| {
-            tokio::spawn(serve_caller(stream, Arc::clone(&state)));
-        }));
-        Ok(Self { task })
+        Self::open("callers", address, state, |stream, state| {
+            tokio::spawn(serve_caller(stream, state));
+        })
+        .await
     }
 
     /// Listens for health checks of the load balancer.
     pub async fn balancer(address: SocketAddr, state: Arc<State>) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let task = tokio::spawn(accept(listener, move |stream| {
-            tokio::spawn(serve_balancer(stream, Arc::clone(&state)));
-        }));
-        Ok(Self { task })
+        Self::open("balancer", address, state, |stream, state| {
+            tokio::spawn(serve_balancer(stream, state));
+        })
+        .await
+    }
+
+    async fn open(
+        name: &'static str,
+        address: SocketAddr,
+        state: Arc<State>,
+        on_connection: fn(TcpStream, Arc<State>),
+    ) -> io::Result<Self> {
+        let listener = Arc::new(TcpListener::bind(address).await?);
+        let mut tasks = Supervisor::new(&state.tasks, Policy::default());
+        tasks.spawn(name, move || {
+            let (listener, state) = (Arc::clone(&listener), Arc::clone(&state));
+            async move {
+                accept(&listener, |stream| {
+                    on_connection(stream, Arc::clone(&state));
+                })
+                .await;
+            }
+        });
+        Ok(Self { tasks })
     }
 
     /// Stops accepting connections; open connections stay.
     pub fn close(self) {
-        self.task.abort();
+        self.tasks.close();
     }
 }
 
-async fn accept(listener: TcpListener, on_connection: impl Fn(TcpStream)) {
+async fn accept(listener: &TcpListener, on_connection: impl Fn(TcpStream)) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -80,85 +91,23 @@
     }
 }
 
-/// Tracks whether a connection is idle.
-struct Activity {
-    in_flight: AtomicUsize,
-    last_active: Mutex<Instant>,
-}
-
-impl Activity {
-    fn new() -> Arc<Self> {
-        Arc::new(Self {
-            in_flight: AtomicUsize::new(0),
-            last_active: Mutex::new(clock::now()),
-        })
-    }
-
-    fn touch(&self) {
-        *crate::shared::lock(&self.last_active) = clock::now();
-    }
-
-    /// Time at which the idle timeout expires; `None` while a request is in flight.
-    fn expiry(&self, idle_timeout: Duration) -> Option<Instant> {
-        if self.in_flight.load(Ordering::Acquire) > 0 {
-            return None;
-        }
-        Some(*crate::shared::lock(&self.last_active) + idle_timeout)
-    }
-}
-
 async fn serve_caller(stream: TcpStream, state: Arc<State>) {
-    let activity = Activity::new();
     let catalog = state.catalog();
-    let max_header_bytes = catalog.as_ref().map_or(MIN_HEADER_BUFFER_BYTES, |catalog| {
-        catalog.limits.max_head_bytes
-    });
-    let service = service_fn({
-        let (state, activity) = (Arc::clone(&state), Arc::clone(&activity));
-        move |request| {
-            let (state, activity) = (Arc::clone(&state), Arc::clone(&activity));
-            async move {
-                activity.in_flight.fetch_add(1, Ordering::AcqRel);
-                let mut response = relay::serve(Arc::clone(&state), request).await;
-                if state.is_stopping() {
-                    let close = HeaderValue::from_static("close");
-                    response.headers_mut().insert(header::CONNECTION, close);
-                }
-                activity.in_flight.fetch_sub(1, Ordering::AcqRel);
-                activity.touch();
-                Ok::<_, Infallible>(response)
-            }
-        }
-    });
-    let connection = http1::Builder::new()
-        .auto_date_header(false)
-        .max_buf_size(max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    // A stopping host does not close idle connections, since a request may be on its way: the next
-    // response tells the caller to.
-    let mut closing = false;
-    loop {
-        let idle_timeout = state
-            .catalog()
-            .map_or(DEFAULT_IDLE_TIMEOUT, |catalog| catalog.limits.idle_timeout);
-        let expiry = activity.expiry(idle_timeout);
-        let wake_at = expiry.unwrap_or_else(|| clock::now() + idle_timeout);
-        tokio::select! {
-            result = connection.as_mut() => {
-                if let Err(cause) = result {
-                    event!(Debug, "caller_connection_ended", reason = cause);
-                }
-                return;
-            }
-            () = time::sleep_until(wake_at.into()), if !closing => {
-                if activity.expiry(idle_timeout).is_some_and(|expiry| expiry <= clock::now()) {
-                    closing = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
-        }
-    }
+    let settings = Settings {
+        max_header_bytes: catalog.map_or(MIN_HEADER_BUFFER_BYTES, |catalog| {
+            catalog.limits.max_head_bytes
+        }),
+        idle_timeout: || {
+            state
+                .catalog()
+                .map_or(DEFAULT_IDLE_TIMEOUT, |catalog| catalog.limits.idle_timeout)
+        },
+        shutdown: state.shutdown.subscribe(),
+    };
+    connection::serve(stream, settings, |request| {
+        relay::serve(Arc::clone(&state), request)
+    })
+    .await;
 }
 
 /// Answers health checks: 200 if this host accepts new connections, otherwise 503.
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -1,14 +1,16 @@
 //! Entry host on the users' platform: an HTTP proxy that sends callers' requests to engines.
 //!
-//! `listener` accepts connections, `relay` handles requests, and `exchange` sends them to engines that
-//! `acquire` chooses, through `flight` and `upstream`; `attempt` finds out whether an engine crashed
-//! on one. `watch` follows the platform's store, and `records` applies what it says;
+//! `listener` accepts connections, `connection` serves them, `relay` handles requests, and `exchange`
+//! sends them to engines that `acquire` chooses, through `flight` and `upstream`; `attempt` finds out
+//! whether an engine crashed on one. `watch` follows the platform's store, and `records` applies what
+//! it says;
 //! `gossip` and `peers` communicate with the other processes. `quarantine` keeps requests from
 //! engines that their prompts would crash.
 
 mod acquire;
 mod attempt;
-mod body;
+pub mod body;
+pub mod connection;
 mod exchange;
 mod flight;
 mod gossip;
@@ -16,7 +18,7 @@
 mod metrics;
 mod peers;
 mod pool;
-mod problem;
+pub mod problem;
 mod process;
 mod quarantine;
 mod records;
--- a/crates/entry/src/front/process.rs
+++ b/crates/entry/src/front/process.rs
@@ -2,14 +2,19 @@
 
 use {
     crate::{
-        front::{gossip, listener::Listener, peers, quarantine, state::State, watch},
+        front::{
+            connection::Shutdown, gossip, listener::Listener, peers, quarantine, state::State,
+            watch,
+        },
         shared::lock,
     },
+    jayspread_core::restart::Policy,
     jayspread_net::{
         admin::{self, Admin},
         clock,
         datagram::{self, Identity, Socket},
         event,
+        task::Supervisor,
         telemetry::Output,
     },
     jayspread_platform::{settings::Settings, store::Topic},
@@ -20,7 +25,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::{task::JoinHandle, time},
+    tokio::time,
 };
 
 /// Time after the stop signal during which the load balancer still sends new connections: it checks
@@ -34,6 +39,11 @@
 /// Interval between checks whether all requests have finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Maximum time for which connections are awaited that are closed at once.
+const CUT_OFF_TIME: Duration = Duration::from_millis(100);
+/// Interval between checks whether they are closed.
+const CUT_OFF_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Startup error.
 #[derive(Debug)]
 pub enum Error {
@@ -64,7 +74,7 @@
     peers: admin::Server,
     callers: Listener,
     balancer: Listener,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: Supervisor,
 }
 
 impl Process {
@@ -90,11 +100,16 @@
             .await
             .map_err(bind_error("datagram"))?;
         let state = State::new(settings, socket, output.dropped());
-        let peers = admin::Server::open(internal_address, peers::router(Arc::clone(&state)))
-            .await
-            .map_err(bind_error("peer"))?;
+        let peers = admin::Server::open(
+            "peers",
+            internal_address,
+            peers::router(Arc::clone(&state)),
+            &state.tasks,
+        )
+        .await
+        .map_err(bind_error("peer"))?;
         let registry = state.metrics.registry();
-        let admin = Admin::open(admin_address, Arc::clone(&state), registry)
+        let admin = Admin::open(admin_address, Arc::clone(&state), registry, &state.tasks)
             .await
             .map_err(bind_error("metrics"))?;
         let balancer = Listener::balancer(readiness_address, Arc::clone(&state))
@@ -103,13 +118,7 @@
         let callers = Listener::callers(caller_address, Arc::clone(&state))
             .await
             .map_err(bind_error("callers"))?;
-        let tasks = vec![
-            tokio::spawn(watch::run(Arc::clone(&state), Topic::Operator)),
-            tokio::spawn(watch::run(Arc::clone(&state), Topic::Engines)),
-            tokio::spawn(gossip::receive(Arc::clone(&state))),
-            tokio::spawn(gossip::run(Arc::clone(&state))),
-            tokio::spawn(quarantine::run(Arc::clone(&state))),
-        ];
+        let tasks = start_tasks(&state);
         let identity = &state.socket.identity;
         event!(
             Info,
@@ -149,7 +158,7 @@
         let refuse_from = started + ACCEPT_PERIOD.min(grace / 2);
         // `close` consumes the process, so the value is set only once.
         let _ = self.state.refuse_from.set(refuse_from);
-        self.state.stopping.send_replace(true);
+        self.state.shutdown.send_replace(Shutdown::Stopping);
         gossip::tell_region(&self.state);
         self.state.heartbeat_due.notify_one();
         let is_busy = || in_flight() > 0 || lock(&self.state.quarantine).has_unchecked();
@@ -165,12 +174,34 @@
         );
         quarantine::flush(&self.state);
         self.callers.close();
+        self.state.shutdown.send_replace(Shutdown::CutOff);
+        let cut_off_deadline = clock::now() + CUT_OFF_TIME;
+        while in_flight() > 0 && clock::now() < cut_off_deadline {
+            time::sleep(CUT_OFF_POLL_INTERVAL).await;
+        }
         self.balancer.close();
         self.peers.close();
         self.admin.close();
-        for task in self.tasks {
-            task.abort();
-        }
+        self.tasks.close();
         cut_off
     }
 }
+
+/// Starts the background tasks.
+fn start_tasks(state: &Arc<State>) -> Supervisor {
+    let mut tasks = Supervisor::new(&state.tasks, Policy::default());
+    for (name, topic) in [
+        ("watch_operator", Topic::Operator),
+        ("watch_engines", Topic::Engines),
+    ] {
+        let state = Arc::clone(state);
+        tasks.spawn(name, move || watch::run(Arc::clone(&state), topic));
+    }
+    let shared = Arc::clone(state);
+    tasks.spawn("receive", move || gossip::receive(Arc::clone(&shared)));
+    let shared = Arc::clone(state);
+    tasks.spawn("gossip", move || gossip::run(Arc::clone(&shared)));
+    let shared = Arc::clone(state);
+    tasks.spawn("quarantine", move || quarantine::run(Arc::clone(&shared)));
+    tasks
+}
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -6,7 +6,7 @@
             body::Body,
             exchange::Exchange,
             flight::{Answer, Flights, build_response},
-            problem::Problem,
+            problem::{PANIC_RETRY_AFTER, Problem},
             state::State,
             stream::Stream,
             trace::Trace,
@@ -22,7 +22,7 @@
         id::Engine,
         quarantine::{self, Part},
     },
-    jayspread_net::{body, clock},
+    jayspread_net::{body, clock, event, panic},
     jayspread_platform::header as wire,
     std::{
         sync::{Arc, atomic::Ordering},
@@ -42,10 +42,22 @@
     let (parts, incoming) = request.into_parts();
     let request = wire::parse_request(&parts.headers);
     let request_id = request.as_ref().map(|request| request.id.clone());
-    match accept(state.clone(), parts, incoming, request, arrived).await {
+    let accepting = accept(state.clone(), parts, incoming, request, arrived);
+    let accepted = panic::catch_async(accepting).await.unwrap_or_else(|panic| {
+        event!(
+            Error,
+            "request_panicked",
+            request = request_id.as_deref().unwrap_or("none"),
+            message = panic
+        );
+        // Nothing was sent yet.
+        Err(Problem::unavailable("panicked", PANIC_RETRY_AFTER))
+    });
+    match accepted {
         Ok(exchange) => exchange.run().await,
         Err(problem) => {
             metrics::count(&state.metrics.failed, problem.reason);
+            metrics::count(&state.metrics.ends, "refused");
             let mut trace = Trace::new(request_id.as_deref().unwrap_or("none"), 1);
             trace.add(
                 "rejected",
@@ -208,26 +220,31 @@
 
 impl Exchange {
     async fn run(mut self) -> Response<Body> {
-        match self.obtain().await {
-            Ok((_, Answer::Stream(stream))) => self.stream(*stream),
-            Ok((engine, Answer::Whole(response))) => {
+        let problem = match panic::catch_async(self.obtain()).await {
+            Ok(Ok((_, Answer::Stream(stream)))) => {
+                let request_id = self.request.id.clone();
+                let response = panic::catch(|| self.stream(*stream));
+                return response.unwrap_or_else(|_| {
+                    Problem::bad_gateway("panicked").into_response(Some(&request_id))
+                });
+            }
+            Ok(Ok((engine, Answer::Whole(response)))) => {
                 let elapsed = self.elapsed();
                 self.state.metrics.first_byte.observe(elapsed.as_secs_f64());
-                let status = response.status().as_u16();
+                let (status, took) = (response.status().as_u16(), elapsed.as_millis());
                 self.complete(
                     "answered",
-                    format_args!(
-                        "engine={engine} status={status} took_ms={}",
-                        elapsed.as_millis()
-                    ),
+                    format_args!("engine={engine} status={status} took_ms={took}"),
                 );
-                response
+                return response;
             }
-            Err(problem) => {
+            Ok(Err(problem)) => {
                 self.fail(problem.reason);
-                problem.into_response(Some(&self.request.id))
+                problem
             }
-        }
+            Err(panic) => self.record_panic(&panic),
+        };
+        problem.into_response(Some(&self.request.id))
     }
 
     /// Sends the request until an engine has answered: with a whole response, or with the first event
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        front::{metrics::Metrics, peers::News, pool::Pool},
+        front::{connection::Shutdown, metrics::Metrics, peers::News, pool::Pool},
         shared::lock,
     },
     jayspread_core::{
@@ -20,7 +20,7 @@
         target::{Bound, Targets},
         window::Budget,
     },
-    jayspread_net::{admin::View, clock, datagram::Socket, event, members::Roster},
+    jayspread_net::{admin::View, clock, datagram::Socket, event, members::Roster, task::Health},
     jayspread_platform::{settings::Settings, store::Topic},
     jayspread_schema::peer::Role,
     serde_json::{Value, json},
@@ -162,6 +162,8 @@
     pub pool: Mutex<Pool>,
     /// Metrics of this process.
     pub metrics: Metrics,
+    /// Health of the background tasks.
+    pub tasks: Arc<Health>,
     /// Triggers an immediate heartbeat, because something that it reports has changed.
     pub heartbeat_due: Notify,
     /// Notifies that a peer has lost or regained the store, which may change who reads it.
@@ -179,8 +181,8 @@
     /// End of the grace period after a store outage, during which engines missing from the list may
     /// be listed again.
     pub grace_until: Mutex<Option<Instant>>,
-    /// Set to true when the process begins to stop.
-    pub stopping: watch::Sender<bool>,
+    /// Progress of the shutdown.
+    pub shutdown: watch::Sender<Shutdown>,
     /// Time from which a stopping process refuses requests.
     pub refuse_from: OnceLock<Instant>,
     /// Whether the list of engines has been read at least once.
@@ -219,6 +221,7 @@
             started: now,
             pool: Mutex::default(),
             metrics: Metrics::default(),
+            tasks: Arc::default(),
             heartbeat_due: Notify::new(),
             readers_changed: Notify::new(),
             peer_offsets: watch::Sender::default(),
@@ -227,7 +230,7 @@
             passed_on: Mutex::default(),
             failing_topics: AtomicUsize::new(0),
             grace_until: Mutex::default(),
-            stopping: watch::Sender::new(false),
+            shutdown: watch::Sender::default(),
             refuse_from: OnceLock::new(),
             has_engine_list: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -243,7 +246,7 @@
 
     /// Whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        *self.shutdown.borrow() >= Shutdown::Stopping
     }
 
     /// Whether the process is stopping and refuses new requests.
@@ -366,7 +369,7 @@
         if !self.has_engine_list.load(Ordering::Relaxed) {
             return Err("no engine is known yet".into());
         }
-        Ok(())
+        self.tasks.check()
     }
 
     fn dump(&self) -> Value {
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -19,7 +19,7 @@
         silence::Awaited,
         sse::{Event, Splitter},
     },
-    jayspread_net::{channel::Head, clock},
+    jayspread_net::{channel::Head, clock, panic::Panic},
     std::{
         sync::{Arc, atomic::AtomicBool},
         time::{Duration, Instant},
@@ -391,6 +391,10 @@
 }
 
 impl Source for Relay {
+    fn record_panic(&mut self, panic: &Panic) {
+        self.exchange.record_panic(panic);
+    }
+
     async fn next(&mut self) -> Option<Result<Bytes, Aborted>> {
         if self.is_complete {
             return None;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -9,12 +9,12 @@
         roster::Roster, slots::Slots,
     },
     jayspread_core::{config::State, id::Host, retry::Budget, route::Policy},
-    jayspread_net::{clock, event, link::Link, node::Node},
+    jayspread_net::{clock, event, link::Link, node::Node, task::Health},
     jayspread_schema::{settings::Entry as Settings, wire::Update},
     std::{
         collections::BTreeMap,
         sync::{
-            Arc, Mutex, MutexGuard,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Instant,
@@ -22,6 +22,8 @@
     tokio::sync::{Notify, watch},
 };
 
+pub use jayspread_net::sync::lock;
+
 /// Shared state of an entry host.
 pub struct Shared {
     /// Settings of this entry host.
@@ -46,6 +48,8 @@
     pub claims: Claims,
     /// Metrics of this entry host.
     pub metrics: Metrics,
+    /// Health of the background tasks.
+    pub tasks: Arc<Health>,
     /// Counter that is incremented whenever the projection has changed.
     pub projection_updates: watch::Sender<u64>,
     /// Wakes the roster task.
@@ -89,6 +93,7 @@
             retry_budget: Mutex::new(Budget::new(clock::now())),
             claims: Claims::default(),
             metrics: Metrics::default(),
+            tasks: Arc::default(),
             projection_updates: watch::Sender::new(0),
             roster_wake: Notify::new(),
             log_up: AtomicBool::new(false),
@@ -151,10 +156,3 @@
         self.roster_wake.notify_one();
     }
 }
-
-/// Locks a mutex, which is never poisoned.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .expect("no thread panics while it holds the lock")
-}
