The largest incarnation of a member does not end its process

What callers saw: in debug builds, a process that received a statement about itself with the incarnation panicked while its members were locked. In release builds its incarnation became zero, and no other process believed its datagrams any more.

Cause: a member contradicts a statement with the next incarnation, which overflows.

Change: statements and datagrams with an incarnation above 2^62 are ignored. Processes start from the time in ms, shifted by 16 bits, which is below 2^57.

Measured: statement_about_the_largest_incarnation_is_ignored failed before with "attempt to add with overflow" for the largest incarnation and by its assertion for the one before; both cases pass now.

--- a/crates/core/src/swim.rs
+++ b/crates/core/src/swim.rs
@@ -30,6 +30,9 @@
 /// Number of times that a change is passed on; receiving it from others counts as well. Members that
 /// miss it learn of it when their digests differ.
 const MAX_UPDATE_SENDS: u32 = 8;
+/// Largest incarnation that counts. Processes start far below it; a statement about a larger one could
+/// not be contradicted.
+const MAX_INCARNATION: Incarnation = 1 << 62;
 
 /// What a member believes about another. The order is the precedence within one incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -221,6 +224,9 @@
         now: Instant,
     ) -> Option<Change> {
         let is_known = self.records.contains_key(host);
+        if incarnation > MAX_INCARNATION {
+            return None;
+        }
         if *host == *self.me || !is_known && self.records.len() >= MAX_MEMBERS {
             return None;
         }
@@ -280,6 +286,9 @@
     fn apply(&mut self, updates: Vec<Update<C>>, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
         for update in updates {
+            if update.incarnation > MAX_INCARNATION {
+                continue;
+            }
             if *update.host == *self.me {
                 self.contradict(&update);
                 continue;
@@ -313,7 +322,7 @@
         let wrong = update.incarnation == self.incarnation && update.standing != Standing::Alive;
         if wrong || update.incarnation > self.incarnation {
             self.digest ^= presence(&self.me, self.incarnation);
-            self.incarnation = update.incarnation + 1;
+            self.incarnation = (update.incarnation + 1).min(MAX_INCARNATION);
             self.digest ^= presence(&self.me, self.incarnation);
             self.queue.insert(self.me.clone(), 0);
             self.urgent = true;
