The age of a version stays large when it is passed on

Cause: the age grows until it is passed on, and was then cut to 64 bits, so that the version seemed to have been named just now.

All limits that ages are compared with are far shorter.

Measured: age_of_any_length_stays_old_when_it_is_passed_on failed before (age below the limit after one second); it passes now.

--- a/crates/net/src/targets.rs
+++ b/crates/net/src/targets.rs
@@ -1,16 +1,19 @@
 //! Target versions of models in the messages of entry hosts.
 
 use {
-    jayspread_core::target::{self, Targets},
+    jayspread_core::{
+        clamp,
+        target::{self, Targets},
+    },
     jayspread_schema::peer::{Superseded, Target},
-    std::time::{Duration, Instant},
+    std::time::Instant,
 };
 
 /// Records the versions that an entry host tells; returns whether the newest one is newer than all
 /// versions known so far.
 pub fn learn(targets: &mut Targets, told: &Target, now: Instant) -> bool {
     let mut insert = |version, age_ms, age_assumed| {
-        let age = Duration::from_millis(age_ms);
+        let age = clamp::milliseconds(age_ms);
         let set_at = now.checked_sub(age).unwrap_or(now);
         if age_assumed {
             targets.assume(&told.model, version, set_at)
--- a/crates/net/tests/targets.rs
+++ b/crates/net/tests/targets.rs
@@ -35,3 +35,24 @@
     };
     assert_eq!(restarted.bounds("m", LIMIT), [bound(2, 0), bound(3, 2)]);
 }
+
+/// Guards against a version that was named long ago and counts as new at the next host, because its age
+/// exceeds the range of the field that states it.
+#[test]
+fn age_of_any_length_stays_old_when_it_is_passed_on() {
+    let now = Instant::now();
+    let told = Target {
+        model: "m".into(),
+        version: 2,
+        age_ms: u64::MAX,
+        ..Target::default()
+    };
+    let mut known = Targets::default();
+    targets::learn(&mut known, &told, now);
+    known.record("m", 3, now);
+    let later = now + Duration::from_secs(1);
+    let passed_on = targets::superseded(known.relevant("m", Duration::MAX, now), later);
+    assert_eq!(passed_on.len(), 1);
+    assert!(Duration::from_millis(passed_on[0].age_ms) > LIMIT);
+    assert_eq!(known.min_version("m", LIMIT, now), 2);
+}
