The limit of a version is added to its time without overflow

What callers saw: nothing so far, as the limit comes from the settings, which are bounded. Targets::bounds relied on that.

--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -1,8 +1,11 @@
 //! Target versions of models, as set by the operator, and the oldest version that may still serve.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
+use {
+    crate::clamp,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
 /// Number of targets kept per model. The oldest is dropped; the next one takes over its time, which
@@ -112,7 +115,7 @@
         let targets = self.models.get(model).map_or(&[][..], Vec::as_slice);
         let bound = |t: &Target| Bound {
             version: t.version,
-            until: t.set_at + limit,
+            until: clamp::later(t.set_at, limit),
         };
         targets.iter().map(bound).collect()
     }
