Test the table of engines with numbers of any size

A property test feeds listings, reports, loads, limits, speeds and requirements of any size through the table and the choice of an engine.

--- a/crates/core/tests/extremes.rs
+++ b/crates/core/tests/extremes.rs
@@ -6,9 +6,12 @@
     engines::{Fixture, listing, only_host, report, requirements, route, speed},
     jayspread_core::{
         catalog::{Speed, Target},
-        engine::{Load, Place},
+        clamp,
+        delay::Sent,
+        engine::{Listing, Load, Place, Report, Rotation},
         target::Bound,
     },
+    proptest::{num, option, prelude::*, test_runner::RngSeed},
     rstest::rstest,
     std::time::Duration,
 };
@@ -153,3 +156,93 @@
     assert_eq!(&**route.pick_service(0.25), "s");
     assert_eq!(&**route.pick_service(0.75), "t");
 }
+
+prop_compose! {
+    fn any_load()(running in any::<u32>(), waiting in any::<u32>(), slowdown in num::f64::ANY) -> Load {
+        Load { running, waiting, slowdown }
+    }
+}
+
+prop_compose! {
+    fn any_listing()(slots in any::<u32>(), cold_remaining in any::<Duration>()) -> Listing {
+        Listing { slots, cold_remaining, ..listing("a", 1, "r1") }
+    }
+}
+
+prop_compose! {
+    fn any_report()(
+        load in any_load(),
+        (position, size, round, remote) in any::<(u32, u32, u64, bool)>(),
+        hosts in 1..=u32::MAX,
+        (uptime, valid, closes_in) in any::<(Duration, Duration, Option<Duration>)>(),
+        max_new in any::<u32>(),
+        limit in option::of(num::f64::ANY),
+    ) -> (Report, Option<Duration>) {
+        let rotation = if remote { Rotation::remote } else { Rotation::new };
+        let index = position as usize;
+        let place = Place { index, hosts: hosts as usize };
+        let sent = Sent { process: 1, uptime };
+        let rotation = rotation(index, size as usize, round);
+        let report = Report { load, place, sent, valid, max_new, limit, ..report(0, 0, rotation) };
+        (report, closes_in)
+    }
+}
+
+prop_compose! {
+    fn any_speed()(
+        (slots, steps_per_pass, mean_prompt, mean_answer) in any::<(u32, u32, u32, u32)>(),
+        (step_time, step_time_per_sequence) in any::<(Duration, Duration)>(),
+        prefill_rate in num::f64::ANY,
+    ) -> Speed {
+        Speed {
+            slots, steps_per_pass, step_time, step_time_per_sequence, prefill_rate, mean_prompt,
+            mean_answer, model: "m".into(),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    /// Guards against an overflow while the engines are locked, whatever is stated of one.
+    #[test]
+    fn numbers_of_any_size_never_panic(
+        (listed, relisted) in (any_listing(), any_listing()),
+        (first, second) in (any_report(), any_report()),
+        (load, limit, cold_rate) in (any_load(), option::of(num::f64::ANY), num::f64::ANY),
+        speed in option::of(any_speed()),
+        (prompt_tokens, answer_tokens) in any::<(u32, Option<u32>)>(),
+        (time_left, until, resuming) in any::<(Duration, Duration, bool)>(),
+        hosts in 1..=u32::MAX,
+    ) {
+        let mut fixture = Fixture::new(&[]);
+        fixture.backend.speed = speed;
+        fixture.backend.cold_rate = cold_rate;
+        let bounds = [Bound { version: 2, until: clamp::later(fixture.now, until) }];
+        let address = listed.address;
+        fixture.table.add_listing(listed, fixture.now);
+        for (mut report, closes_in) in [first, second] {
+            report.closes_at = closes_in.map(|time| clamp::later(fixture.now, time));
+            fixture.table.apply_report(address, 1, report, fixture.now);
+            for version_bounds in [&[][..], &bounds] {
+                let mut requirements = requirements(&fixture.route, &fixture.backend);
+                requirements.prompt_tokens = prompt_tokens;
+                requirements.answer_tokens = answer_tokens;
+                requirements.time_left = time_left;
+                requirements.version_bounds = version_bounds;
+                requirements.resuming = resuming;
+                requirements.place = Place { index: 0, hosts: hosts as usize };
+                let (table, now) = (&mut fixture.table, fixture.now);
+                let choice = table.choose(&requirements, &mut fixture.rng, now);
+                if let Ok(choice) = choice {
+                    table.observe_load(&choice.reservation, load, now);
+                    table.apply_limit(&choice.reservation, limit, now, now);
+                    let _ = table.choose(&requirements, &mut fixture.rng, now);
+                    table.release(&choice.reservation, None, now);
+                }
+                fixture.now += Duration::from_millis(700);
+            }
+            fixture.table.add_listing(relisted.clone(), fixture.now);
+        }
+    }
+}
