Reports of agents are decoded into bounded values

What callers saw: a report whose port was cut to 16 bits counted for another engine at the same address, which then got its load and its grants. A limit of NaN, infinity or less than zero counted as a limit.

Cause: the entry host took the numbers of the message as they stand.

The rest of the decoding is unchanged.

--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -11,15 +11,9 @@
         shared::lock,
     },
     jayspread_core::{
-        catalog::Catalog,
-        delay::Sent,
-        engine::{self, Load, Place, Report, Rotation},
-        id::Host,
-        mirror::Position,
-        placement::Table,
-        reader,
+        catalog::Catalog, engine, id::Host, mirror::Position, placement::Table, reader,
     },
-    jayspread_net::{clock, event, members, targets},
+    jayspread_net::{clock, event, members, reports, targets},
     jayspread_platform::store::Topic,
     jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
     std::{
@@ -167,51 +161,16 @@
 
 /// Applies an agent's report on the load of its engine.
 fn handle_report(state: &State, engine: &Engine, agent_process: u64) {
-    let address = SocketAddr::new(
-        IpAddr::V4(Ipv4Addr::from_bits(engine.address)),
-        engine.port as u16,
-    );
+    let Some(address) = reports::address(engine) else {
+        state.metrics.malformed_packets.inc();
+        event!(Debug, "report_malformed", port = engine.port);
+        return;
+    };
     let now = clock::now();
-    let closes_in = Duration::from_millis(engine.closes_in_ms);
     let catalog = state.catalog();
     let mut table = lock(&state.engines);
     let max_new = prefill_batch(catalog.as_deref(), &table, address);
-    let (position, size) = (engine.position as usize, engine.group_size as usize);
-    let rotation = if engine.remote {
-        Rotation::remote(position, size, engine.round)
-    } else {
-        Rotation::new(position, size, engine.round)
-    };
-    let audience = engine.audience.max(1) as usize;
-    let index = if engine.remote {
-        audience.saturating_sub(size) + position
-    } else {
-        position
-    };
-    let report = Report {
-        rotation,
-        place: Place {
-            index,
-            hosts: audience,
-        },
-        sent: Sent {
-            process: agent_process,
-            uptime: Duration::from_millis(engine.sent_ms),
-        },
-        valid: Duration::from_millis(engine.valid_ms.into()),
-        responsive: engine.answers,
-        load: Load {
-            running: engine.running,
-            waiting: engine.waiting,
-            slowdown: f64::from(engine.pace) / 100.0,
-        },
-        version: (engine.version > 0).then_some(engine.version),
-        closed: engine.closed,
-        closes_at: (!closes_in.is_zero()).then(|| now + closes_in),
-        max_new,
-        leaving: engine.leaving,
-        limit: engine.limit,
-    };
+    let report = reports::decode(engine, agent_process, max_new, now);
     table.apply_report(address, engine.born_ms, report, now);
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod link;
 pub mod members;
 pub mod node;
+pub mod reports;
 pub mod session;
 pub mod signal;
 pub mod targets;
