A signed change without a next revision is rejected

What callers saw: nothing in release builds; in debug builds a replica panicked when a checkpoint or a change had the base.

Cause: the revision of a change is its base plus one.

Change: such a change is malformed.

Measured: change_of_the_largest_revision_is_rejected failed before with "attempt to add with overflow" in Replica::restore_change; it passes now.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -310,6 +310,9 @@
         if change.id.len() != ID_BYTES {
             return Err(Rejection::Malformed("id must be 16 bytes long".into()));
         }
+        if change.base == Revision::MAX {
+            return Err(Rejection::Malformed("base has no next revision".into()));
+        }
         Ok(Verified {
             change,
             signed: signed.clone(),
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -8,8 +8,8 @@
         config::{Rejection, Replica, sign},
     },
     jayspread_schema::config::{
-        Artifact, Batch, Bundle as RawBundle, Change, Claim, DataCentre, Organisation, Outcome,
-        Service, Signed, Void, change::Kind,
+        Accepted, Artifact, Batch, Bundle as RawBundle, Change, Checkpoint, Claim, DataCentre,
+        Organisation, Outcome, Service, Signed, Void, change::Kind,
     },
     proptest::{prelude::*, test_runner::RngSeed},
     prost::Message,
@@ -236,6 +236,29 @@
     assert!(ledger.is_held_by(&key, "c"));
 }
 
+/// Guards against an overflow while a checkpoint or a change is applied whose base is the largest
+/// revision.
+#[test]
+fn change_of_the_largest_revision_is_rejected() {
+    let signed = roll(u64::MAX, "v1");
+    let checkpoint = Checkpoint {
+        revision: u64::MAX,
+        changes: vec![Accepted {
+            revision: 0,
+            signed: Some(signed.clone()),
+        }],
+        through: 0,
+    };
+    let mut replica = replica();
+    assert!(replica.apply_checkpoint(&checkpoint).is_err());
+    let empty = Checkpoint {
+        changes: Vec::new(),
+        ..checkpoint
+    };
+    assert_eq!(replica.apply_checkpoint(&empty), Ok(true));
+    assert!(replica.apply(&signed).is_err());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
