A load of any size that an agent reports does not overflow

What callers saw: in debug builds, requests ended after an agent reported running or waiting attempts; in release builds its backend server seemed idle.

Cause: the choice of a backend server added and multiplied the counts as u32.

Change: the sums saturate, and the comparison of reported loads uses u64.

Measured: backend_server_with_the_highest_load_is_not_chosen failed before with "attempt to add with overflow" and "attempt to multiply with overflow"; both cases pass now. The sum of running and waiting attempts in entry::slots was read, and has no test of its own.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -46,7 +46,7 @@
     /// this entry host's attempts since the report.
     pub fn load(&self) -> f64 {
         let others = self.reported_load.saturating_sub(self.in_flight_at_report);
-        f64::from(others + self.in_flight) / f64::from(self.limit.max(1))
+        f64::from(others.saturating_add(self.in_flight)) / f64::from(self.limit.max(1))
     }
 
     /// Whether another attempt would start immediately.
@@ -83,7 +83,7 @@
         }
         Policy::LeastReported => candidates
             .iter()
-            .min_by_key(|c| c.reported_load * 1000 / c.limit.max(1)),
+            .min_by_key(|c| u64::from(c.reported_load) * 1000 / u64::from(c.limit.max(1))),
     }
 }
 
--- a/crates/core/tests/extremes.rs
+++ b/crates/core/tests/extremes.rs
@@ -3,15 +3,17 @@
 mod engines;
 
 use {
-    engines::{Fixture, listing, only_host, report, requirements, route, speed},
+    engines::{Fixture, listing, only_host, report, requirements, speed},
     jayspread_core::{
         catalog::{Speed, Target},
         clamp,
         delay::Sent,
         engine::{Listing, Load, Place, Report, Rotation},
+        route::{self, Candidate, Policy},
         target::Bound,
     },
     proptest::{num, option, prelude::*, test_runner::RngSeed},
+    rand::{SeedableRng, rngs::StdRng},
     rstest::rstest,
     std::time::Duration,
 };
@@ -147,7 +149,7 @@
 /// services have a larger sum than a `u32`.
 #[test]
 fn heaviest_weights_are_shared_evenly() {
-    let mut route = route(&[]);
+    let mut route = engines::route(&[]);
     let target = |service: &str| Target {
         service: service.into(),
         weight: u32::MAX,
@@ -157,6 +159,28 @@
     assert_eq!(&**route.pick_service(0.75), "t");
 }
 
+/// Guards against an overflow in the choice of a backend server when its agent reports a load that a
+/// sum cannot hold.
+#[rstest]
+#[case::two_choices(Policy::TwoChoices)]
+#[case::least_reported(Policy::LeastReported)]
+fn backend_server_with_the_highest_load_is_not_chosen(#[case] policy: Policy) {
+    let candidate = |host: &str, reported_load, limit| Candidate {
+        host: host.into(),
+        local: true,
+        reported_load,
+        in_flight: 1,
+        in_flight_at_report: 0,
+        limit,
+    };
+    let candidates = [candidate("a", u32::MAX, 1), candidate("b", 0, 4)];
+    for number in 0..20 {
+        let mut rng = StdRng::seed_from_u64(number);
+        let chosen = route::choose(policy, &candidates, Some(b"prefix"), 0, &mut rng);
+        assert_eq!(chosen.map(|candidate| &*candidate.host), Some("b"));
+    }
+}
+
 prop_compose! {
     fn any_load()(running in any::<u32>(), waiting in any::<u32>(), slowdown in num::f64::ANY) -> Load {
         Load { running, waiting, slowdown }
--- a/crates/entry/src/slots.rs
+++ b/crates/entry/src/slots.rs
@@ -279,7 +279,7 @@
         let candidates = usable.map(|(host, backend)| Candidate {
             host: host.clone(),
             local: backend.data_centre == self.data_centre,
-            reported_load: backend.load.running + backend.load.waiting,
+            reported_load: backend.load.running.saturating_add(backend.load.waiting),
             in_flight: inner.in_flight.get(host),
             in_flight_at_report: backend.in_flight_at_report,
             limit: backend.load.limit,
