--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod members;
 pub mod node;
 pub mod panic;
+pub mod reports;
 pub mod session;
 pub mod signal;
 pub mod sync;
