A claim with the largest time keeps its key

Debug builds panicked while they read the log.

Cause: the end of the retention is the time of the claim plus the retention, which overflowed to a time long ago.

Change: these sums saturate, so that such a claim does not expire.

Not changed: the time of such a claim is also the latest known one, so that hosts with sound clocks count as late and take no further claims.

Measured: claim_with_the_largest_time_is_held failed before with "attempt to add with overflow"; it passes now.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -136,13 +136,14 @@
     /// Whether a clock that reads `now_ms` may timestamp claims: it must not lag the latest claim
     /// by more than `MAX_CLOCK_SKEW`.
     pub fn accepts_clock(&self, now_ms: u64) -> bool {
-        now_ms + MAX_CLOCK_SKEW.as_millis() as u64 >= self.latest_ms
+        now_ms.saturating_add(MAX_CLOCK_SKEW.as_millis() as u64) >= self.latest_ms
     }
 
     /// Removes keys whose claims are older than twice the retention time.
     pub fn prune(&mut self, now_ms: u64) {
         let retention_ms = 2 * KEY_RETENTION.as_millis() as u64;
-        let is_old = |entry: &Entry| entry.claim.claimed_at_ms + retention_ms <= now_ms;
+        let end_ms = |entry: &Entry| entry.claim.claimed_at_ms.saturating_add(retention_ms);
+        let is_old = |entry: &Entry| end_ms(entry) <= now_ms;
         self.entries.retain(|_, entry| !is_old(entry));
     }
 
@@ -186,7 +187,8 @@
 /// Whether the retention time of an entry had passed when `claim` was made.
 fn is_expired(entry: &Entry, claim: &proto::Claim) -> bool {
     let retention_ms = KEY_RETENTION.as_millis() as u64;
-    claim.claimed_at_ms >= entry.claim.claimed_at_ms + retention_ms
+    let end_ms = entry.claim.claimed_at_ms.saturating_add(retention_ms);
+    claim.claimed_at_ms >= end_ms
 }
 
 fn validate(batch: &proto::Batch) -> Result<(), Error> {
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -236,6 +236,22 @@
     assert!(ledger.is_held_by(&key, "c"));
 }
 
+/// Guards against a key that a second request takes because the time of the first claim is so large
+/// that the end of its retention overflows.
+#[test]
+fn claim_with_the_largest_time_is_held() {
+    let mut ledger = Ledger::default();
+    for (request, at_ms) in [("a", u64::MAX), ("b", 1)] {
+        ledger
+            .apply(&claim(request, at_ms))
+            .expect("the batch is well-formed");
+    }
+    assert!(ledger.is_held_by(&[9; 32], "a"));
+    ledger.prune(1);
+    assert!(ledger.is_held_by(&[9; 32], "a"));
+    assert!(ledger.accepts_clock(u64::MAX) && !ledger.accepts_clock(1));
+}
+
 /// Guards against an overflow while a checkpoint or a change is applied whose base is the largest
 /// revision.
 #[test]
