End attempts that panic at an agent as failed

What callers saw: a request whose attempt panicked at the agent got no answer before its deadline. The attempt counted as running for ever, so that the agent admitted one less from then on, and its shutdown waited for the whole time.

Cause: the task of an attempt ended before it finished the attempt in the table and its response buffer.

Change: attempt::outcome ends an execution that panics with Outcome::Failed, as it does one that takes too long; the rest of the task runs as for each failure.

Measured: attempt_that_panics_has_failed failed before (panicked: response that panics), passes now. Not run through a whole agent.

--- a/crates/agent/src/attempt.rs
+++ b/crates/agent/src/attempt.rs
@@ -15,7 +15,7 @@
         admission::{self, Attempt, Verdict},
         id::Request,
     },
-    jayspread_net::{clock, event, frame, http::Error, session::Writer},
+    jayspread_net::{clock, event, frame, http::Error, panic, session::Writer},
     jayspread_schema::wire::{self, Head, Header, NotStarted, Refusal, Submit, reply},
     std::{
         sync::Arc,
@@ -125,11 +125,7 @@
         let buffer = lock(&shared.responses).get(&request).cloned();
         let buffer = buffer.expect("a started attempt has a response buffer");
         let limit = Duration::from_millis(submit.remaining_ms.into()) + DEADLINE_GRACE;
-        let execution = execute(&shared, submit, &buffer);
-        let outcome = match time::timeout(limit, execution).await {
-            Ok(outcome) => outcome,
-            Err(_) => Outcome::Failed("took too long".into()),
-        };
+        let outcome = outcome(limit, execute(&shared, submit, &buffer)).await;
         count_outcome(&shared, &request, &outcome);
         let dequeued = lock(&shared.admission).finish(&request, clock::now());
         buffer.finish(outcome);
@@ -137,6 +133,15 @@
     });
 }
 
+/// Outcome of an execution; it has failed if it takes longer than `limit` or panics.
+pub async fn outcome(limit: Duration, execution: impl Future<Output = Outcome>) -> Outcome {
+    match time::timeout(limit, panic::catch_async(execution)).await {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(panic)) => Outcome::Failed(format!("panicked: {panic}").into()),
+        Err(_) => Outcome::Failed("took too long".into()),
+    }
+}
+
 /// Starts or refuses attempts that have left the waiting queue.
 pub fn start_waiting(shared: &Arc<Shared>, dequeued: Vec<admission::Dequeued>) {
     for submit in shared.resolve_waiting(dequeued) {
