Cut off responses of the entry host whose task ended early

What callers saw: a response whose task panicked after its first bytes looked complete where it had no length.

Cause: the body ended with its channel, whether the response was finished or not. The panic itself was in no log line.

Ruled out: sending an error when the sink is dropped. The channel may be full.

Change: a body is complete only if the sink was finished; otherwise it ends with an error, which closes the connection. The task logs event=request_panicked with the request id, and counts a truncated response. A panic before the response has begun is answered as one that may have been executed; one while the request is parsed as one that was not (503 with Retry-After).

The answers after a panic were not run through a whole process.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -17,7 +17,10 @@
     },
     jayspread_schema::wire::{Ack, Cancel, Head, Recall, Refusal, Submit, ask, reply},
     std::{
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{
@@ -60,6 +63,7 @@
     /// Sender of the head; `None` once the head was sent.
     head_sender: Option<oneshot::Sender<ResponseHead>>,
     body_sender: mpsc::Sender<Result<Bytes, Truncation>>,
+    is_complete: Arc<AtomicBool>,
     /// Head that is sent with the first chunk of the body, or at the end of an empty one.
     pending_head: Option<ResponseHead>,
     /// Bytes of the body passed to the caller.
@@ -80,6 +84,8 @@
     pub head: oneshot::Receiver<ResponseHead>,
     /// Receives the body; an error ends it early.
     pub body: mpsc::Receiver<Result<Bytes, Truncation>>,
+    /// Whether the body is complete once the receiver has ended.
+    pub is_complete: Arc<AtomicBool>,
 }
 
 impl Sink {
@@ -90,6 +96,7 @@
         let sink = Self {
             head_sender: Some(head_sender),
             body_sender,
+            is_complete: Arc::default(),
             pending_head: None,
             delivered: 0,
             version: "".into(),
@@ -101,6 +108,7 @@
         let source = Source {
             head: head_receiver,
             body: body_receiver,
+            is_complete: Arc::clone(&sink.is_complete),
         };
         (sink, source)
     }
@@ -152,6 +160,7 @@
     /// Ends a complete response and returns its summary.
     pub fn finish(&mut self) -> Summary {
         self.send_head();
+        self.is_complete.store(true, Ordering::Release);
         let complete = self.body_copy.len() as u64 == self.delivered;
         self.summary.body = complete.then(|| self.body_copy.split().freeze());
         std::mem::take(&mut self.summary)
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -23,13 +23,16 @@
         service::TowerToHyperService,
     },
     jayspread_core::{bundle, id},
-    jayspread_net::{admin::View, body, clock, event},
+    jayspread_net::{admin::View, body, clock, event, panic},
     std::{
         io,
         net::SocketAddr,
         pin::Pin,
-        sync::{Arc, atomic::Ordering},
-        task::{Context, Poll},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        task::{Context, Poll, ready},
         time::{Duration, Instant},
     },
     tokio::{
@@ -174,7 +177,14 @@
     shared.metrics.requests.inc();
     let call_guard = CallGuard::new(&shared);
     let id = format!("{:032x}", rand::random::<u128>());
-    let call = match parse_call(&shared, request, &id, arrived_at).await {
+    let parsing = panic::catch_async(parse_call(&shared, request, &id, arrived_at));
+    let parsed = parsing.await.unwrap_or_else(|panic| {
+        event!(Error, "request_panicked", request = id, message = panic);
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let problem = Problem::not_executed(status, "panicked", "the request was not read");
+        Err(problem.with_retry_after(RETRY_AFTER))
+    });
+    let call = match parsed {
         Ok(call) => call,
         Err(problem) => {
             dispatch::count_problem(&shared, &problem);
@@ -184,7 +194,22 @@
     let (mut sink, source) = Sink::new(arrived_at);
     let (problem_sender, problem_receiver) = oneshot::channel();
     tokio::spawn(async move {
-        let result = dispatch::serve(&shared, &call, &mut sink).await;
+        let served = panic::catch_async(dispatch::serve(&shared, &call, &mut sink)).await;
+        let result = served.unwrap_or_else(|panic| {
+            event!(
+                Error,
+                "request_panicked",
+                request = call.id,
+                message = panic
+            );
+            if sink.response_started() {
+                shared.metrics.truncated.inc();
+            }
+            Err(Problem::maybe_executed(
+                "panicked",
+                "the request's task panicked",
+            ))
+        });
         if let Some(time_to_first_byte) = sink.time_to_first_byte {
             shared
                 .metrics
@@ -223,7 +248,11 @@
 async fn respond(source: Source, problem: oneshot::Receiver<Problem>, id: &str) -> Response {
     match source.head.await {
         Ok(head) => {
-            let mut response = Response::new(Body::new(ResponseBody(source.body)));
+            let body = ResponseBody {
+                chunks: source.body,
+                is_complete: source.is_complete,
+            };
+            let mut response = Response::new(Body::new(body));
             *response.status_mut() = head.status;
             *response.headers_mut() = head.headers;
             response
@@ -238,7 +267,12 @@
 }
 
 /// Body of a response; after an error the connection closes without the end of the body.
-struct ResponseBody(mpsc::Receiver<Result<Bytes, Truncation>>);
+pub struct ResponseBody {
+    /// Chunks of the body.
+    pub chunks: mpsc::Receiver<Result<Bytes, Truncation>>,
+    /// Whether the body is complete once there are no more chunks.
+    pub is_complete: Arc<AtomicBool>,
+}
 
 impl hyper::body::Body for ResponseBody {
     type Data = Bytes;
@@ -248,9 +282,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncation>>> {
-        self.0
-            .poll_recv(cx)
-            .map(|chunk| chunk.map(|result| result.map(Frame::data)))
+        match ready!(self.chunks.poll_recv(cx)) {
+            Some(result) => Poll::Ready(Some(result.map(Frame::data))),
+            None if self.is_complete.load(Ordering::Acquire) => Poll::Ready(None),
+            None => Poll::Ready(Some(Err(Truncation("the request's task ended".into())))),
+        }
     }
 }
 
