A refusal without a request id no longer answers another request

Callers were told 503 (not run, try again) for a non-idempotent request that the engine was running, and such a request could be sent to a second engine.

Cause: read_head took any response without an id that says 'not executed' as that of the request that waits, also on a connection that had carried others before. A faulty engine that repeats an earlier refusal there answered the next request with it. A response with another request's id was discarded already, as were bytes that had arrived before the connection was reused.

core::answer now decides whose response it is. Without an id, a refusal counts only for the first request on its connection, with no response before it, and after that request was sent completely. Anything else means that the request may have run; the connection is closed, and event=unproven_response tells why.

Tests: repeated_refusal_does_not_answer_a_request_that_runs failed before in its three plain cases (421, 429, 503: the caller got 503 although the request had run) and passes now; the cases of idempotent requests and streams passed before too, since these may run again.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! from a generator that the caller passes, and invariants are asserted in release builds too.
 
 pub mod admission;
+pub mod answer;
 pub mod audience;
 pub mod bundle;
 pub mod call;
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -9,7 +9,11 @@
         shared::lock,
     },
     jayspread_core::{
-        catalog::Kind, outlier::Outcome, placement::Reservation, quarantine::Finding,
+        answer::{Arrival, Owner},
+        catalog::Kind,
+        outlier::Outcome,
+        placement::Reservation,
+        quarantine::Finding,
     },
     jayspread_net::{
         channel::{Channel, Error, Head},
@@ -336,13 +340,20 @@
     loop {
         let head = channel.receive_head().await?;
         let metadata = wire::parse_response(head.status.as_u16(), &head.headers);
-        match &metadata.request_id {
-            Some(response_id) if **response_id != *request_id => {
+        let arrival = Arrival {
+            named: metadata.request_id.as_deref(),
+            is_refusal: metadata.not_executed,
+            is_first: channel.is_first_request() && unexpected_count == 0,
+            request_sent: channel.is_request_sent(),
+        };
+        match arrival.owner(request_id) {
+            Owner::Request => return Ok((head, metadata)),
+            Owner::Another => {
                 event!(
                     Warn,
                     "unexpected_response",
                     request = request_id,
-                    response_for = response_id
+                    response_for = arrival.named.unwrap_or_default()
                 );
                 unexpected_count += 1;
                 if unexpected_count > MAX_UNEXPECTED_RESPONSES {
@@ -350,10 +361,18 @@
                 }
                 channel.receive_body(MAX_DISCARDED_BYTES).await?;
             }
-            None if !metadata.not_executed => {
+            Owner::Unknown => {
+                event!(
+                    Warn,
+                    "unproven_response",
+                    request = request_id,
+                    status = head.status.as_u16(),
+                    refusal = arrival.is_refusal,
+                    first = arrival.is_first,
+                    request_sent = arrival.request_sent
+                );
                 return Err(Error::Malformed("response without a request id"));
             }
-            _ => return Ok((head, metadata)),
         }
     }
 }
--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -130,6 +130,8 @@
     outgoing: BytesMut,
     /// At least one byte of the request was sent.
     any_sent: bool,
+    /// Number of requests queued so far.
+    request_count: u64,
     framing: Framing,
     /// The connection cannot take another request: the server closes it or an error occurred.
     must_close: bool,
@@ -151,6 +153,7 @@
             incoming: BytesMut::new(),
             outgoing: BytesMut::new(),
             any_sent: false,
+            request_count: 0,
             framing: Framing::Idle,
             must_close: false,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
@@ -169,6 +172,7 @@
         self.outgoing.extend_from_slice(head);
         self.outgoing.extend_from_slice(body);
         self.any_sent = false;
+        self.request_count += 1;
         self.framing = Framing::Idle;
     }
 
@@ -270,6 +274,11 @@
             && !self.must_close
     }
 
+    /// Whether the connection carries its first request.
+    pub fn is_first_request(&self) -> bool {
+        self.request_count == 1
+    }
+
     /// Whether any byte of the request was sent.
     pub fn has_sent(&self) -> bool {
         self.any_sent
