A host that was held up reads what has arrived before it closes an idle connection

Callers saw: a request sent well within the idle timeout got neither an answer nor a refusal, as its connection was closed (10 of 10 in the test).

Cause: a host that stands still across the expiry of the timeout finds the timer due before the request in its socket, and closes the connection. Of all that was found this is nearest to the report: a change of the configuration holds up the only thread of a host.

Ruled out: the order of the branches of the select alone; after a hold-up the timer fires before the socket is polled.

Change: when the timeout has passed, the connection is read for 50 ms more.

A first form of the test (40 connections, opened one after the other) let some expire before the host stood still, and is not used.

--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -20,6 +20,9 @@
     tokio::{net::TcpStream, sync::watch, time},
 };
 
+/// Time for which a connection is still read when its idle timeout has passed: a host that was held up
+/// finds the timeout before what arrived meanwhile.
+const EXPIRY_GRACE: Duration = Duration::from_millis(50);
 /// Smallest header buffer that hyper accepts.
 pub const MIN_HEADER_BUFFER_BYTES: usize = 8 << 10;
 
@@ -157,6 +160,7 @@
         }
     });
     let mut closing = false;
+    let mut expired = false;
     let connection = http1::Builder::new()
         .auto_date_header(false)
         .max_buf_size(settings.max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
@@ -165,7 +169,11 @@
     loop {
         let idle_timeout = (settings.idle_timeout)();
         let expiry = activity.expiry(idle_timeout);
-        let wake_at = expiry.unwrap_or_else(|| clock::now() + idle_timeout);
+        let wake_at = match expiry {
+            Some(_) if expired => clock::now() + EXPIRY_GRACE,
+            Some(expiry) => expiry,
+            None => clock::now() + idle_timeout,
+        };
         tokio::select! {
             result = connection.as_mut() => {
                 if let Err(cause) = result {
@@ -182,10 +190,12 @@
             () = time::sleep_until(wake_at.into()), if !closing => {
                 // The timeout may have changed during the sleep.
                 let expiry = activity.expiry((settings.idle_timeout)());
-                if expiry.is_some_and(|expiry| expiry <= clock::now()) {
+                let has_passed = expiry.is_some_and(|expiry| expiry <= clock::now());
+                if has_passed && expired {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
+                expired = has_passed;
             }
         }
     }
