A third engine is asked when two are silent

Cause: the silence of an engine was looked at only while no other one had the request beside it.

Change: several engines may have the request beside each other, within the attempts of the route and the retry budget; silence is counted from the newest one.

--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -274,8 +274,8 @@
         }
     }
 
-    /// What is awaited of an engine that has the request.
-    fn awaited(&self) -> Awaited {
+    /// What is awaited of an engine that has not answered.
+    pub fn awaited(&self) -> Awaited {
         let latency_target = self.route.latency_target;
         if self.route.kind.is_stream() {
             Awaited::Event(latency_target)
@@ -293,29 +293,29 @@
         time::sleep_until(check_at.into()).await;
     }
 
-    /// Waits until an attempt ends; starts another one beside it if its engine is silent.
+    /// Waits until an attempt ends; starts another one beside those in progress if the engine that got
+    /// the request last is silent.
     pub async fn next_result(
         &mut self,
         flights: &mut Flights,
     ) -> (Engine, Result<Answer, Failure>) {
         loop {
-            let is_alone = flights.only().is_some();
-            let since = flights.only().map_or(self.arrived, |flight| flight.started);
+            let since = flights.newest().map(|flight| flight.started);
             // An answer that has arrived counts, however late this host looks for it.
             tokio::select! {
                 biased;
                 result = flights.next() => return result,
-                () = self.silence_check(since, self.awaited()), if is_alone => {}
+                () = self.silence_check(since.unwrap_or(self.arrived), self.awaited()) => {}
             }
             self.relieve_silent(flights);
         }
     }
 
-    /// Sends the request to another engine beside the only attempt in progress, if its engine is
+    /// Sends the request to another engine beside those that have it, if the one that got it last is
     /// silent.
-    fn relieve_silent(&mut self, flights: &mut Flights) {
+    pub fn relieve_silent(&mut self, flights: &mut Flights) {
         let awaited = self.awaited();
-        let Some(flight) = flights.only() else {
+        let Some(flight) = flights.newest() else {
             return;
         };
         let silent = Silent {
--- a/crates/entry/src/front/flight.rs
+++ b/crates/entry/src/front/flight.rs
@@ -73,7 +73,7 @@
     }
 }
 
-/// Attempts of a request that are in progress: none, one, or two beside each other.
+/// Attempts of a request that are in progress beside each other.
 #[derive(Default)]
 pub struct Flights(Vec<Flight>);
 
@@ -93,12 +93,9 @@
         self.0.clear();
     }
 
-    /// The only attempt; `None` if there is none or another one beside it.
-    pub fn only(&self) -> Option<&Flight> {
-        match &self.0[..] {
-            [flight] => Some(flight),
-            _ => None,
-        }
+    /// The attempt that began last; `None` if there is none.
+    pub fn newest(&self) -> Option<&Flight> {
+        self.0.last()
     }
 
     /// Waits until an attempt ends, removes it and returns its engine and result. Pending for ever
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -277,16 +277,18 @@
             ..
         } = self;
         match stream {
-            Some(stream) if flights.is_empty() => tokio::select! {
-                biased;
-                next = stream.next_event() => Progress::Stream(next),
-                () = exchange.silence_check(since, awaited) => Progress::Silence,
-            },
-            Some(stream) => tokio::select! {
-                biased;
-                next = stream.next_event() => Progress::Stream(next),
-                (engine, result) = flights.next() => Progress::Flight(engine, result),
-            },
+            Some(stream) => {
+                let (since, awaited) = match flights.newest() {
+                    Some(flight) => (flight.started, exchange.awaited()),
+                    None => (since, awaited),
+                };
+                tokio::select! {
+                    biased;
+                    next = stream.next_event() => Progress::Stream(next),
+                    (engine, result) = flights.next() => Progress::Flight(engine, result),
+                    () = exchange.silence_check(since, awaited) => Progress::Silence,
+                }
+            }
             None => {
                 let (engine, result) = exchange.next_result(flights).await;
                 Progress::Flight(engine, result)
@@ -300,8 +302,12 @@
         Awaited::Event(gap_target.unwrap_or(DEFAULT_GAP_TARGET))
     }
 
-    /// Sends the request to another engine beside the one that is silent.
+    /// Sends the request to another engine beside those that are silent.
     fn relieve_silent(&mut self) {
+        if !self.flights.is_empty() {
+            self.exchange.relieve_silent(&mut self.flights);
+            return;
+        }
         let Some(stream) = &self.stream else {
             return;
         };
