Only what follows a caller's last event may continue its stream

Callers found the text of an error, or the head of another response, among the events of their stream, missed an event, or had a stream that broke off end as if it were complete.

Cause: any response with a success status was taken for the rest of a stream. Its media type was not looked at, an event needed no id, an id needed only to be above the last one, an engine that began again at the first event had its repetitions dropped and the rest joined to the first run, and a clean end before the first event counted as the end of the stream. The first engine's stream was relayed the same way. Ruled out: an error status of the next engine (the stream was aborted before, too), and bytes after the final chunk, which are never read as part of the body.

core::resume now decides it, for the first engine and for those that resume: the head must be that of an event stream, each event has the id after the one before, and an end without events is complete only for a caller that asked to resume by itself and gets the engine's whole response. With any fault the attempt counts as broken, so the stream is resumed elsewhere or aborted.

Tests: ten of the twelve cases of broken_stream_goes_on_only_with_its_own_rest and stream_that_is_out_of_order_is_resumed failed before (the callers' bytes held the text, the head, an event without id or a gap, or the stream looked complete); all pass now. The cases error and repeat passed before and guard what was right.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quarantine;
 pub mod ramp;
 pub mod reader;
+pub mod resume;
 pub mod retry;
 pub mod rollout;
 pub mod route;
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -20,7 +20,6 @@
         id::Engine,
         placement::{Choice, Refusal, Requirements},
         quarantine::Part,
-        sse,
     },
     jayspread_net::clock,
     jayspread_platform::header as wire,
@@ -429,10 +428,7 @@
             }
             Err(problem) => {
                 let (sends, reason) = (self.call.sends(), problem.reason);
-                self.trace_event(
-                    "not_resumed",
-                    format_args!("sends={sends} reason={reason}"),
-                );
+                self.trace_event("not_resumed", format_args!("sends={sends} reason={reason}"));
                 None
             }
         }
@@ -451,14 +447,6 @@
         true
     }
 
-    /// Whether the caller already has this event; an engine that resumes a stream may repeat some.
-    pub fn is_duplicate(&self, event: &sse::Event) -> bool {
-        let (Some(id), Some(last)) = (event.id, self.call.last_event_id()) else {
-            return false;
-        };
-        id <= last
-    }
-
     /// Whether another engine could take over if the current attempt were abandoned.
     pub fn can_fail_over(&self) -> bool {
         let kind = self.route.kind;
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -9,9 +9,11 @@
         upstream::{Failure, Response},
     },
     bytes::{Bytes, BytesMut},
+    http::header,
     jayspread_core::{
         call::Event as CallEvent,
         outlier::Outcome,
+        resume::{Fault, Run},
         sse::{Event, Splitter},
     },
     jayspread_net::{channel::Head, clock},
@@ -28,6 +30,10 @@
 pub struct Stream {
     response: Response,
     splitter: Splitter,
+    /// Place in the caller's stream.
+    run: Run,
+    /// Why nothing after the last event may reach the caller.
+    fault: Option<Fault>,
     /// First event, received before the response to the caller began.
     first_event: Option<Event>,
     /// Number of events that the engine has sent.
@@ -47,26 +53,32 @@
 impl Stream {
     /// Reads up to the first complete event.
     pub async fn begin(response: Response, exchange: &Exchange) -> Result<Self, Failure> {
-        let mut stream = Self {
+        let mut stream = Self::new(response, Run::first(exchange.call.last_event_id()));
+        let latency_target = exchange.route.latency_target;
+        match stream.next_event(exchange, latency_target).await {
+            Next::Event(event) => {
+                stream.first_event = Some(event);
+                Ok(stream)
+            }
+            Next::End => Ok(stream),
+            Next::Broken(reason) => Err(stream.fail(reason)),
+            Next::Withdrawn => Err(Failure::Withdrawn),
+            Next::Deadline => Err(Failure::Timeout),
+        }
+    }
+
+    fn new(response: Response, run: Run) -> Self {
+        let head = &response.head;
+        let content_type = head.headers.get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        let checked = run.check_head(head.status.is_success(), content_type.unwrap_or_default());
+        Self {
             response,
             splitter: Splitter::default(),
+            run,
+            fault: checked.err(),
             first_event: None,
             event_count: 0,
-        };
-        let latency_target = exchange.route.latency_target;
-        loop {
-            match stream.next_event(exchange, latency_target).await {
-                Next::Event(event) if exchange.is_duplicate(&event) => {}
-                Next::Event(event) => {
-                    stream.first_event = Some(event);
-                    return Ok(stream);
-                }
-                Next::End if exchange.request.last_event_id.is_some() => return Ok(stream),
-                Next::End => return Err(stream.fail("empty")),
-                Next::Broken(reason) => return Err(stream.fail(reason)),
-                Next::Withdrawn => return Err(Failure::Withdrawn),
-                Next::Deadline => return Err(Failure::Timeout),
-            }
         }
     }
 
@@ -82,9 +94,16 @@
         &self.response.head
     }
 
-    /// Removes and returns the next complete event that was received.
+    /// Removes and returns the next complete event that was received and continues the stream.
     fn take_event(&mut self) -> Option<Event> {
+        if self.fault.is_some() {
+            return None;
+        }
         let event = self.splitter.next_event()?;
+        self.fault = self.run.check_event(event.id).err();
+        if self.fault.is_some() {
+            return None;
+        }
         self.event_count += 1;
         if self.event_count == MAX_EVENTS_BEFORE_CRASH + 1 {
             self.response.attempt.record_completion();
@@ -105,6 +124,9 @@
             if let Some(event) = self.take_event() {
                 return Next::Event(event);
             }
+            if let Some(fault) = self.fault {
+                return Next::Broken(fault.name());
+            }
             // Checked before each read: an engine that sends a byte now and then has stalled too.
             let now = clock::now();
             if now >= exchange.deadline {
@@ -128,7 +150,12 @@
                     }
                 }
                 Ok(Ok(None)) if self.may_be_cut_off() => return Next::Broken("empty"),
-                Ok(Ok(None)) if self.splitter.is_empty() => return Next::End,
+                Ok(Ok(None)) if self.splitter.is_empty() => {
+                    return match self.run.check_end() {
+                        Ok(()) => Next::End,
+                        Err(fault) => Next::Broken(fault.name()),
+                    };
+                }
                 Ok(Ok(None)) => return Next::Broken("ended_inside_an_event"),
                 Ok(Err(cause)) => return Next::Broken(cause.kind()),
                 Err(_) => {}
@@ -209,15 +236,8 @@
         let Some(response) = self.exchange.resume(reason).await else {
             return Err(Aborted);
         };
-        if !response.head.status.is_success() {
-            return Err(Aborted);
-        }
-        self.stream = Some(Stream {
-            response,
-            splitter: Splitter::default(),
-            first_event: None,
-            event_count: 0,
-        });
+        let run = Run::resumed(self.exchange.call.last_event_id());
+        self.stream = Some(Stream::new(response, run));
         Ok(())
     }
 }
@@ -228,15 +248,10 @@
         loop {
             let mut stream = self.stream.take()?;
             match stream.next_event(&self.exchange, gap_target).await {
-                Next::Event(event) if self.exchange.is_duplicate(&event) => {
-                    self.stream = Some(stream)
-                }
                 Next::Event(event) => {
                     let mut bytes = BytesMut::from(&self.relay_event(event)[..]);
                     while let Some(event) = stream.take_event() {
-                        if !self.exchange.is_duplicate(&event) {
-                            bytes.extend_from_slice(&self.relay_event(event));
-                        }
+                        bytes.extend_from_slice(&self.relay_event(event));
                     }
                     self.stream = Some(stream);
                     return Some(Ok(bytes.freeze()));
