--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod ramp;
 pub mod reader;
 pub mod restart;
+pub mod resume;
 pub mod retry;
 pub mod rollout;
 pub mod route;
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -23,6 +23,7 @@
         id::Engine,
         placement::{Choice, Refusal, Reservation},
         quarantine::Part,
+        resume::Run,
         silence::{Awaited, Silence},
     },
     jayspread_net::{clock, panic::Panic, telemetry::Value},
@@ -252,13 +253,16 @@
             deadline: self.deadline,
         };
         let reservation = choice.reservation.clone();
-        let last_event_id = self.call.last_event_id();
-        let may_be_empty = self.request.last_event_id.is_some() || self.call.response_started();
+        let last = self.call.last_event_id();
+        let run = if self.call.response_started() {
+            Run::resumed(last)
+        } else {
+            Run::first(last)
+        };
         self.call.handle(event);
         if self.route.kind.is_stream() {
             let expected = Expected {
-                last_event_id,
-                may_be_empty,
+                run,
                 deadline: self.deadline,
                 begin_by,
                 silence_reported: Arc::clone(&silence_reported),
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -12,10 +12,12 @@
         upstream::{Failure, Response},
     },
     bytes::{Bytes, BytesMut},
+    http::header,
     jayspread_core::{
         call::Event as CallEvent,
         id::Engine,
         outlier::Outcome,
+        resume::{Fault, Run},
         silence::Awaited,
         sse::{Event, Splitter},
     },
@@ -33,10 +35,8 @@
 /// What a stream must be like to be relayed.
 #[derive(Debug)]
 pub struct Expected {
-    /// Id of the last event that the caller has.
-    pub last_event_id: Option<u64>,
-    /// Whether the stream may end before its first event: the caller may have all of them.
-    pub may_be_empty: bool,
+    /// Place in the caller's stream.
+    pub run: Run,
     /// Time by which the response must be complete.
     pub deadline: Instant,
     /// Time by which the engine must begin, if its version is an old one.
@@ -50,7 +50,9 @@
     response: Response,
     expected: Expected,
     splitter: Splitter,
-    /// First event that the caller does not have, received before the stream is relayed.
+    /// Why nothing after the last event may reach the caller.
+    fault: Option<Fault>,
+    /// First event, received before the stream is relayed.
     first_event: Option<Event>,
     /// Number of events that the engine has sent.
     event_count: u32,
@@ -69,34 +71,31 @@
 }
 
 impl Stream {
-    /// Reads up to the first complete event that the caller does not have.
+    /// Reads up to the first complete event.
     pub async fn begin(response: Response, expected: Expected) -> Result<Self, Failure> {
+        let head = &response.head;
+        let content_type = head.headers.get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        let checked = expected
+            .run
+            .check_head(head.status.is_success(), content_type.unwrap_or_default());
         let mut stream = Self {
             response,
             expected,
             splitter: Splitter::default(),
+            fault: checked.err(),
             first_event: None,
             event_count: 0,
             has_ended: false,
         };
-        let last_event_id = stream.expected.last_event_id;
-        loop {
-            match stream.next_event().await {
-                Next::Event(event) if is_duplicate(&event, last_event_id) => {}
-                Next::Event(event) => {
-                    stream.first_event = Some(event);
-                    return Ok(stream);
-                }
-                Next::End if stream.expected.may_be_empty => {
-                    stream.has_ended = true;
-                    return Ok(stream);
-                }
-                Next::End => return Err(stream.fail("empty")),
-                Next::Broken(reason) => return Err(stream.fail(reason)),
-                Next::Withdrawn => return Err(Failure::Withdrawn),
-                Next::Deadline => return Err(Failure::Timeout),
-            }
+        match stream.next_event().await {
+            Next::Event(event) => stream.first_event = Some(event),
+            Next::End => stream.has_ended = true,
+            Next::Broken(reason) => return Err(stream.fail(reason)),
+            Next::Withdrawn => return Err(Failure::Withdrawn),
+            Next::Deadline => return Err(Failure::Timeout),
         }
+        Ok(stream)
     }
 
     fn fail(&mut self, reason: &'static str) -> Failure {
@@ -116,9 +115,16 @@
         &self.response.attempt.permit.reservation.id
     }
 
-    /// Removes and returns the next complete event that was received.
+    /// Removes and returns the next complete event that was received and continues the stream.
     fn take_event(&mut self) -> Option<Event> {
+        if self.fault.is_some() {
+            return None;
+        }
         let event = self.splitter.next_event()?;
+        self.fault = self.expected.run.check_event(event.id).err();
+        if self.fault.is_some() {
+            return None;
+        }
         self.event_count += 1;
         if self.event_count == MAX_EVENTS_BEFORE_CRASH + 1 {
             self.response.attempt.record_completion();
@@ -141,6 +147,9 @@
             if let Some(event) = self.take_event() {
                 return Next::Event(event);
             }
+            if let Some(fault) = self.fault {
+                return Next::Broken(fault.name());
+            }
             // Checked before each read: an engine that sends a byte now and then must not go on for ever.
             let now = clock::now();
             if now >= self.expected.deadline {
@@ -161,7 +170,12 @@
                     }
                 }
                 Ok(Ok(None)) if self.may_be_cut_off() => return Next::Broken("empty"),
-                Ok(Ok(None)) if self.splitter.is_empty() => return Next::End,
+                Ok(Ok(None)) if self.splitter.is_empty() => {
+                    return match self.expected.run.check_end() {
+                        Ok(()) => Next::End,
+                        Err(fault) => Next::Broken(fault.name()),
+                    };
+                }
                 Ok(Ok(None)) => return Next::Broken("ended_inside_an_event"),
                 Ok(Err(cause)) => return Next::Broken(cause.kind()),
                 Err(_) => {}
@@ -186,14 +200,6 @@
     }
 }
 
-/// Whether the caller already has this event; an engine that resumes a stream may repeat some.
-fn is_duplicate(event: &Event, last_event_id: Option<u64>) -> bool {
-    event
-        .id
-        .zip(last_event_id)
-        .is_some_and(|(id, last)| id <= last)
-}
-
 /// A streamed response in progress.
 struct Relay {
     /// Stream that is relayed; `None` while another engine is to resume it.
@@ -233,9 +239,7 @@
     fn relay_received(&mut self, event: Event) -> Bytes {
         let mut bytes = BytesMut::from(&self.relay_event(event)[..]);
         while let Some(event) = self.stream.as_mut().and_then(Stream::take_event) {
-            if !is_duplicate(&event, self.exchange.call.last_event_id()) {
-                bytes.extend_from_slice(&self.relay_event(event));
-            }
+            bytes.extend_from_slice(&self.relay_event(event));
         }
         bytes.freeze()
     }
@@ -419,9 +423,6 @@
                     }
                 }
                 Progress::Stream(Next::Event(event)) => {
-                    if is_duplicate(&event, self.exchange.call.last_event_id()) {
-                        continue;
-                    }
                     self.flights.clear();
                     return Some(Ok(self.relay_received(event)));
                 }
