Streams of an engine that is silent for long may use the whole retry budget

Change: from 1.5 s of silence on, longer than that of a sound engine, a request competes for the whole budget (core::silence).

--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -17,6 +17,9 @@
 /// Shortest such silence; with less, the delay of one lost packet would exceed it.
 const MIN_PLAIN_STALL: Duration = Duration::from_millis(150);
 
+/// Silence that is longer than that of a sound engine.
+const LONG_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// What an engine is expected to send next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Awaited {
@@ -53,6 +56,12 @@
     pub fn is_stall(&self) -> bool {
         self.lasted >= self.awaited.stall_limit(self.is_responsive)
     }
+
+    /// Whether the engine is so long silent that it has probably ended. The request then competes for
+    /// retries with those that have lost their engine.
+    pub fn is_long(&self) -> bool {
+        self.lasted >= LONG_SILENCE
+    }
 }
 
 fn scale(time: Duration, factor: f64) -> Duration {
--- a/crates/core/tests/silence.rs
+++ b/crates/core/tests/silence.rs
@@ -55,3 +55,15 @@
     assert!(beside > 0);
     assert!(retries >= beside, "{retries} left of {}", beside + retries);
 }
+
+#[rstest]
+#[case::of_a_sound_engine(1_200, false)]
+#[case::of_an_engine_that_has_ended(1_500, true)]
+fn long_silence(#[case] lasted_ms: u64, #[case] is_long: bool) {
+    let silence = Silence {
+        awaited: Awaited::Event(300 * MS),
+        lasted: Duration::from_millis(lasted_ms),
+        is_responsive: false,
+    };
+    assert_eq!(silence.is_long(), is_long);
+}
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -363,7 +363,7 @@
         if self.is_probe || self.remaining() < MIN_REMAINING {
             return None;
         }
-        let is_spare = self.state.has_spare_retry(&self.service);
+        let is_spare = silence.is_long() || self.state.has_spare_retry(&self.service);
         if !is_spare || self.check_quarantine().is_err() || self.is_probe {
             return None;
         }
