Asking a second engine neither uses up a test of a quarantined part nor counts this host's delay

A check of the quarantine may make a request the test of a part; asked for a second engine it did so although nothing was sent, and forbade the retries of the request. Now it is only looked at (Exchange::has_quarantined_part).

A host that was held up found the check for silence due before it had written the request, and blamed the engine. If the check comes over 50 ms late, the engine gets 100 ms more.

--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -41,6 +41,8 @@
 
 /// Shortest interval between checks whether an engine is silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay of a check from which this host counts as held up.
+const MAX_LATENESS: Duration = Duration::from_millis(50);
 /// Maximum age of an agent's report that its engine is responsive.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(700);
 /// Retry delay suggested to a caller whose request no engine has executed.
@@ -295,6 +297,10 @@
         let check_at = stalls_at.unwrap_or(self.deadline).min(self.deadline);
         let check_at = check_at.max(clock::now() + SILENCE_CHECK_INTERVAL);
         time::sleep_until(check_at.into()).await;
+        if clock::now().saturating_duration_since(check_at) > MAX_LATENESS {
+            // This host was held up, and may have sent the request only now.
+            time::sleep(SILENCE_CHECK_INTERVAL).await;
+        }
     }
 
     /// Waits until an attempt ends; starts another one beside those in progress if the engine that got
@@ -364,7 +370,7 @@
             return None;
         }
         let is_spare = silence.is_long() || self.state.has_spare_retry(&self.service);
-        if !is_spare || self.check_quarantine().is_err() || self.is_probe {
+        if !is_spare || self.has_quarantined_part() {
             return None;
         }
         let choice = self.choose_engine().ok()?;
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -286,6 +286,14 @@
 }
 
 impl Exchange {
+    /// Whether a part of the prompt is quarantined. Unlike [`Exchange::check_quarantine`], this does
+    /// not make the request a test of it.
+    pub fn has_quarantined_part(&self) -> bool {
+        let ledger = lock(&self.state.quarantine);
+        let mut quarantined = ledger.quarantined(clock::now());
+        quarantined.any(|part| self.prompt_parts.contains(&part))
+    }
+
     /// Refuses the request if a part of its prompt is quarantined. One that is let through as a test
     /// is not sent again if it fails.
     pub fn check_quarantine(&mut self) -> Result<(), Refusal> {
