What has arrived of a stream is read before it is withdrawn

No test shows it.

Change: the limits are looked at after a read. A stream that sends bytes without an event is still ended (tests of bytes without end).

--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -143,6 +143,7 @@
         if self.has_ended {
             return Next::End;
         }
+        let mut has_read = false;
         loop {
             if let Some(event) = self.take_event() {
                 return Next::Event(event);
@@ -150,15 +151,17 @@
             if let Some(fault) = self.fault {
                 return Next::Broken(fault.name());
             }
-            // Checked before each read: an engine that sends a byte now and then must not go on for ever.
+            // What has arrived is read first; after that, an engine that sends a byte now and then must
+            // not go on for ever.
             let now = clock::now();
-            if now >= self.expected.deadline {
+            if has_read && now >= self.expected.deadline {
                 return Next::Deadline;
             }
             let begin_by = self.expected.begin_by.filter(|_| self.event_count == 0);
-            if begin_by.is_some_and(|at| now >= at) {
+            if has_read && begin_by.is_some_and(|at| now >= at) {
                 return Next::Withdrawn;
             }
+            has_read = true;
             let wake_at = begin_by.unwrap_or(self.expected.deadline);
             let wake_at = wake_at.min(self.expected.deadline);
             match time::timeout_at(wake_at.into(), self.response.attempt.channel.receive_data())
