--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -203,8 +203,8 @@
         }
     }
 
-    /// Sends the request to the chosen engine.
-    fn send(&mut self, choice: &Choice, event: CallEvent) -> Flight {
+    /// Logs what the choice of an engine was based on.
+    fn trace_send(&mut self, choice: &Choice) {
         self.trace_event(
             "sent",
             format_args!(
@@ -224,6 +224,11 @@
                 self.call.sends() + 1
             ),
         );
+    }
+
+    /// Sends the request to the chosen engine; `event` tells whether others have it already.
+    fn send(&mut self, choice: &Choice, event: CallEvent) -> Flight {
+        self.trace_send(choice);
         let permit = Permit::new(&self.state, choice.reservation.clone());
         let silence_reported = permit.silence_reported();
         self.tried.push(choice.reservation.id.clone());
