--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import base64
+import ctypes
 import hashlib
 import json
 import os
@@ -471,6 +472,14 @@
 
 # The project's programs
 
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
+
+
+def end_with_case():
+    """Makes a process that is about to start end with the case, however that ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
 
 class Process:
     """A program of the deploy file with its settings."""
@@ -500,7 +509,8 @@
         environment["JAYSPREAD_CONFIG"] = str(path)
         with open(self.log, "ab") as log:
             self.child = subprocess.Popen([str(ROOT / run[0]), *run[1:]], cwd=ROOT, env=environment,
-                                          stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+                                          stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                                          preexec_fn=end_with_case)
         self.site.record.say(f"{self.name}: starts")
 
     def signal(self, number):
@@ -651,7 +661,7 @@
         finally:
             site.close()
 
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: (site.close(), os._exit(2)))
     try:
         held = asyncio.run(run())
