A caller's connection is not closed while a request is on its way

Cause: a host closed idle connections at the end of idle_timeout_ms, and told no caller. A second cause of the same class, by reading and test: a connection counted as idle until the whole head was in, so that a head under way was cut off.

Change: core::connection keeps what a connection has in hand, from the first byte of a head to the last byte of its answer; front::socket records it. An idle connection stays open for the idle time and the time that a head may take. Answers tell the idle time (Keep-Alive), and what was told holds when the limit is lowered. A head that takes too long gets 408. A connection that was closed is read until the caller has closed it, at most 1 s, and what crossed the close is logged (request_crossed_close).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod claim;
 pub mod clamp;
 pub mod config;
+pub mod connection;
 pub mod delay;
 pub mod engine;
 pub mod fair;
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -1,21 +1,26 @@
 //! One connection of a caller: its requests, its idle timeout and its end.
 
 use {
-    crate::front::{body::Body, problem::Problem},
-    http::{HeaderValue, Request, Response, header},
+    crate::front::{
+        body::Body,
+        problem::Problem,
+        socket::{self, Progress, Socket},
+    },
+    http::{HeaderName, HeaderValue, Request, Response, header},
     http_body_util::BodyExt,
     hyper::{Error, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
-    jayspread_net::{clock, event, panic, sync::lock},
+    jayspread_core::connection::{Limits, Stage},
+    jayspread_net::{clock, event, panic},
     std::{
         convert::Infallible,
         error::Error as _,
-        fmt,
+        fmt, io,
         sync::{
-            Arc, Mutex, OnceLock,
+            Arc, OnceLock,
             atomic::{AtomicUsize, Ordering},
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{net::TcpStream, sync::watch, time},
 };
@@ -23,9 +28,21 @@
 /// Time for which a connection is still read when its idle timeout has passed: a host that was held up
 /// finds the timeout before what arrived meanwhile.
 const EXPIRY_GRACE: Duration = Duration::from_millis(50);
+/// Time for which a connection that this side has closed is still read.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Size of the buffer in which what is still read is discarded, bytes.
+const LINGER_BUFFER_BYTES: usize = 4 << 10;
+/// Response to a head that takes too long.
+const HEAD_TOO_SLOW: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+/// Response to a head that is incomplete when the process is about to exit.
+const STOPPING: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 0.05\r\n\
+    content-length: 0\r\nconnection: close\r\n\r\n";
 /// Smallest header buffer that hyper accepts.
 pub const MIN_HEADER_BUFFER_BYTES: usize = 8 << 10;
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Progress of the shutdown of this process.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Shutdown {
@@ -35,6 +52,8 @@
     /// Connections stay open, since a request may be on its way; each response tells the caller to
     /// close.
     Stopping,
+    /// Requests in hand get their final answers at once.
+    Answering,
     /// Connections are closed at once.
     CutOff,
 }
@@ -78,76 +97,107 @@
 pub struct Settings<T> {
     /// Maximum size of a request's head.
     pub max_header_bytes: usize,
-    /// Returns the idle timeout in effect.
-    pub idle_timeout: T,
+    /// Returns the limits in effect.
+    pub limits: T,
     /// Progress of the shutdown.
     pub shutdown: watch::Receiver<Shutdown>,
+    /// Number of connections that have something in hand.
+    pub in_hand: Arc<AtomicUsize>,
 }
 
-/// Tracks whether a connection is idle.
-struct Activity {
-    in_flight: AtomicUsize,
-    last_active: Mutex<Instant>,
+/// Counts a request as in flight until its response is complete or dropped.
+struct InFlight {
+    count: Arc<AtomicUsize>,
+    progress: Arc<Progress>,
 }
 
-impl Activity {
-    fn new() -> Arc<Self> {
-        Arc::new(Self {
-            in_flight: AtomicUsize::new(0),
-            last_active: Mutex::new(clock::now()),
-        })
-    }
-
-    /// Time at which the idle timeout expires; `None` while a request is in flight.
-    fn expiry(&self, idle_timeout: Duration) -> Option<Instant> {
-        if self.in_flight.load(Ordering::Acquire) > 0 {
-            return None;
-        }
-        Some(*lock(&self.last_active) + idle_timeout)
-    }
-}
-
-/// Counts a request as in flight until its response has been sent or dropped.
-struct InFlight(Arc<Activity>);
-
 impl InFlight {
-    fn new(activity: &Arc<Activity>) -> Self {
-        activity.in_flight.fetch_add(1, Ordering::AcqRel);
-        Self(Arc::clone(activity))
+    fn new(count: &Arc<AtomicUsize>, progress: &Arc<Progress>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        progress.begin();
+        Self {
+            count: Arc::clone(count),
+            progress: Arc::clone(progress),
+        }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        *lock(&self.0.last_active) = clock::now();
-        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.progress.end();
+        self.count.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
 /// Serves a connection until it ends. A request whose handler panics is answered with 502.
 pub async fn serve<T, H, F>(stream: TcpStream, settings: Settings<T>, handler: H)
 where
-    T: Fn() -> Duration,
+    T: Fn() -> Limits,
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Response<Body>>,
+{
+    let stream = Arc::new(stream);
+    let progress = Progress::new(Arc::clone(&settings.in_hand));
+    let mut shutdown = settings.shutdown.clone();
+    let end = exchange(&stream, &progress, settings, handler).await;
+    let closing = async {
+        match end {
+            End::Closed => {}
+            End::CutOff => return,
+            End::HeadTooSlow => refuse(&stream, HEAD_TOO_SLOW, "head_too_slow"),
+            End::Stopping => refuse(&stream, STOPPING, "stopping"),
+        }
+        linger(&stream, &progress).await;
+    };
+    tokio::select! {
+        () = closing => {}
+        _ = shutdown.wait_for(|shutdown| *shutdown == Shutdown::CutOff) => {}
+    }
+}
+
+/// How the exchange of requests and responses on a connection ended.
+enum End {
+    /// Both directions, or the sending one, are closed.
+    Closed,
+    /// The process exits.
+    CutOff,
+    /// The caller took too long to send a head.
+    HeadTooSlow,
+    /// The process is about to exit, and a part of a head has arrived.
+    Stopping,
+}
+
+async fn exchange<T, H, F>(
+    stream: &Arc<TcpStream>,
+    progress: &Arc<Progress>,
+    settings: Settings<T>,
+    handler: H,
+) -> End
+where
+    T: Fn() -> Limits,
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
-    let activity = Activity::new();
+    let in_flight = Arc::new(AtomicUsize::new(0));
     let ending = Ending::default();
     let mut shutdown = settings.shutdown;
-    let progress = shutdown.clone();
+    let stop = shutdown.clone();
     let service = service_fn(|mut request: Request<Incoming>| {
-        let in_flight = InFlight::new(&activity);
+        let in_flight = InFlight::new(&in_flight, progress);
         request.extensions_mut().insert(ending.clone());
         let response = async { handler(request).await };
-        let progress = &progress;
+        let (stop, limits) = (&stop, &settings.limits);
         async move {
             let mut response = panic::catch_async(response).await.unwrap_or_else(|panic| {
                 event!(Error, "handler_panicked", message = panic);
                 Problem::bad_gateway("panicked").into_response(None)
             });
-            if *progress.borrow() >= Shutdown::Stopping {
+            if *stop.borrow() >= Shutdown::Stopping {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
+            } else if let Some(keep_alive) = keep_alive(limits().idle) {
+                progress.promise(limits().idle);
+                response.headers_mut().insert(KEEP_ALIVE, keep_alive);
             }
             // The closure owns the guard, so the request is in flight until the body is dropped.
             Ok::<_, Infallible>(response.map(|body| {
@@ -164,35 +214,44 @@
     let connection = http1::Builder::new()
         .auto_date_header(false)
         .max_buf_size(settings.max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Socket::new(stream, progress)), service);
     let mut connection = std::pin::pin!(connection);
     loop {
-        let idle_timeout = (settings.idle_timeout)();
-        let expiry = activity.expiry(idle_timeout);
-        let wake_at = match expiry {
+        let limits = (settings.limits)();
+        let wake_at = match progress.expiry(limits) {
             Some(_) if expired => clock::now() + EXPIRY_GRACE,
             Some(expiry) => expiry,
-            None => clock::now() + idle_timeout,
+            None => clock::now() + limits.idle,
         };
         tokio::select! {
             result = connection.as_mut() => {
                 if let Err(cause) = result {
-                    report_end(&cause, &activity, &ending);
+                    report_end(&cause, in_flight.load(Ordering::Acquire), &ending);
                 }
-                return;
+                return End::Closed;
             }
             changed = shutdown.changed() => {
-                if changed.is_err() || *shutdown.borrow_and_update() == Shutdown::CutOff {
+                let progressed = *shutdown.borrow_and_update();
+                if changed.is_err() || progressed == Shutdown::CutOff {
                     ending.set(Reason::CutOff);
-                    return;
+                    report_cut_off(progress.stage());
+                    return End::CutOff;
+                }
+                if progressed == Shutdown::Answering && progress.stage() == Stage::Head {
+                    return End::Stopping;
                 }
             }
+            () = progress.head_begun.notified() => {}
             () = time::sleep_until(wake_at.into()), if !closing => {
-                // The timeout may have changed during the sleep.
-                let expiry = activity.expiry((settings.idle_timeout)());
+                // The limits may have changed during the sleep.
+                let expiry = progress.expiry((settings.limits)());
                 let has_passed = expiry.is_some_and(|expiry| expiry <= clock::now());
                 if has_passed && expired {
+                    if progress.stage() == Stage::Head {
+                        return End::HeadTooSlow;
+                    }
                     closing = true;
+                    event!(Debug, "caller_connection_closed", reason = "idle");
                     connection.as_mut().graceful_shutdown();
                 }
                 expired = has_passed;
@@ -201,9 +260,61 @@
     }
 }
 
+/// Tells the caller for how long the connection stays open without a request, in whole seconds;
+/// `None` if that is less than one.
+fn keep_alive(idle: Duration) -> Option<HeaderValue> {
+    let seconds = idle.as_secs();
+    let value = (seconds > 0).then(|| HeaderValue::try_from(format!("timeout={seconds}")))?;
+    value.ok()
+}
+
+/// Sends a response to a request whose head has not arrived completely, after all earlier responses.
+fn refuse(stream: &TcpStream, response: &[u8], reason: &str) {
+    let sent = stream.try_write(response);
+    let is_sent = matches!(sent, Ok(count) if count == response.len());
+    event!(Info, "head_refused", reason = reason, sent = is_sent);
+    if let Err(cause) = socket::shut_down(stream) {
+        event!(Debug, "caller_connection_ended", reason = cause);
+    }
+}
+
+/// Waits for a limited time until the caller has closed the connection as well: a connection that is
+/// closed with unread data is reset, and the caller may lose the last response.
+async fn linger(stream: &TcpStream, progress: &Progress) {
+    progress.close();
+    let mut buffer = [0; LINGER_BUFFER_BYTES];
+    let mut unread_bytes = 0;
+    let discarding = async {
+        loop {
+            stream.readable().await?;
+            match stream.try_read(&mut buffer) {
+                Ok(0) => return Ok::<_, io::Error>(()),
+                Ok(count) => unread_bytes += count,
+                Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
+                Err(cause) => return Err(cause),
+            }
+        }
+    };
+    let ended = time::timeout(LINGER_TIME, discarding).await;
+    if unread_bytes > 0 {
+        event!(
+            Info,
+            "request_crossed_close",
+            unread_bytes = unread_bytes,
+            closed_by_caller = matches!(ended, Ok(Ok(())))
+        );
+    }
+}
+
+/// Logs what a connection had in hand when the process ended it.
+fn report_cut_off(stage: Stage) {
+    if stage != Stage::Idle {
+        event!(Warn, "connection_cut_off", stage = stage.name());
+    }
+}
+
 /// Logs the end of a connection, and tells it to the requests that it ends.
-fn report_end(cause: &Error, activity: &Activity, ending: &Ending) {
-    let in_flight = activity.in_flight.load(Ordering::Acquire);
+fn report_end(cause: &Error, in_flight: usize, ending: &Ending) {
     let reason = Chain(cause).to_string();
     if in_flight == 0 {
         event!(Debug, "caller_connection_ended", reason = reason);
--- a/crates/entry/src/front/listener.rs
+++ b/crates/entry/src/front/listener.rs
@@ -10,7 +10,7 @@
     http_body_util::Empty,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
-    jayspread_core::restart::Policy,
+    jayspread_core::{connection::Limits, restart::Policy},
     jayspread_net::{admin::View, channel, event, task::Supervisor},
     std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -19,8 +19,11 @@
     },
 };
 
-/// Idle timeout of a caller's connection while no configuration is known.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Limits of a caller's connection while no configuration is known.
+const DEFAULT_LIMITS: Limits = Limits {
+    idle: Duration::from_secs(15),
+    head: Duration::from_secs(3),
+};
 /// Pause after a failed `accept`, to let file descriptors become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum lifetime of a load balancer's connection.
@@ -97,12 +100,14 @@
         max_header_bytes: catalog.map_or(MIN_HEADER_BUFFER_BYTES, |catalog| {
             catalog.limits.max_head_bytes
         }),
-        idle_timeout: || {
-            state
-                .catalog()
-                .map_or(DEFAULT_IDLE_TIMEOUT, |catalog| catalog.limits.idle_timeout)
+        limits: || {
+            state.catalog().map_or(DEFAULT_LIMITS, |catalog| Limits {
+                idle: catalog.limits.idle_timeout,
+                head: catalog.limits.body_timeout,
+            })
         },
         shutdown: state.shutdown.subscribe(),
+        in_hand: Arc::clone(&state.in_hand),
     };
     connection::serve(stream, settings, |request| {
         relay::serve(Arc::clone(&state), request)
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! Entry host on the users' platform: an HTTP proxy that sends callers' requests to engines.
 //!
-//! `listener` accepts connections, `connection` serves them, `relay` handles requests, and `exchange`
+//! `listener` accepts connections, `connection` serves them over a `socket` that
+//! records what is in hand, `relay` handles requests, and `exchange`
 //! sends them to engines that `acquire` chooses, through `flight` and `upstream`; `attempt` finds out
 //! whether an engine crashed on one. `watch` follows the platform's store, and `records` applies what
 //! it says;
@@ -24,6 +25,7 @@
 mod records;
 mod relay;
 mod retries;
+pub mod socket;
 mod state;
 mod stream;
 mod trace;
--- /dev/null
+++ b/crates/entry/src/front/socket.rs
@@ -0,0 +1,185 @@
+//! The socket of a caller's connection, and what the connection has in hand.
+
+use {
+    jayspread_core::connection::{Connection, Limits, Stage},
+    jayspread_net::{clock, sync::lock},
+    std::{
+        io::{self, IoSlice},
+        pin::Pin,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
+        task::{Context, Poll, ready},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+        sync::Notify,
+    },
+};
+
+/// State of a connection, and its share in the number of connections with something in hand.
+pub struct Progress {
+    connection: Mutex<Connection>,
+    in_hand: Arc<AtomicUsize>,
+    /// Notified when the first byte of a head arrives.
+    pub head_begun: Notify,
+}
+
+impl Progress {
+    /// State of a connection that was just accepted; `in_hand` counts connections that have something
+    /// in hand.
+    pub fn new(in_hand: Arc<AtomicUsize>) -> Arc<Self> {
+        Arc::new(Self {
+            connection: Mutex::new(Connection::new(clock::now())),
+            in_hand,
+            head_begun: Notify::new(),
+        })
+    }
+
+    /// What the connection has in hand.
+    pub fn stage(&self) -> Stage {
+        lock(&self.connection).stage()
+    }
+
+    /// Time from which the connection may be closed; `None` while a request or an answer is in hand.
+    pub fn expiry(&self, limits: Limits) -> Option<Instant> {
+        lock(&self.connection).expiry(limits)
+    }
+
+    /// Records the idle time that an answer tells the caller.
+    pub fn promise(&self, idle: Duration) {
+        lock(&self.connection).promise(idle);
+    }
+
+    /// Records that the head of a request is complete.
+    pub fn begin(&self) {
+        self.update(Connection::begin);
+    }
+
+    /// Records that the answer to a request is complete, or given up.
+    pub fn end(&self) {
+        self.update(Connection::end);
+    }
+
+    /// Records that the connection is being closed; what was sent counts as in hand until the caller
+    /// has closed it as well.
+    pub fn close(&self) {
+        self.update(Connection::close);
+    }
+
+    fn update(&self, change: impl FnOnce(&mut Connection, Instant)) {
+        let mut connection = lock(&self.connection);
+        let was_in_hand = connection.is_in_hand();
+        change(&mut connection, clock::now());
+        match (was_in_hand, connection.is_in_hand()) {
+            (false, true) => self.in_hand.fetch_add(1, Ordering::AcqRel),
+            (true, false) => self.in_hand.fetch_sub(1, Ordering::AcqRel),
+            _ => return,
+        };
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        if lock(&self.connection).is_in_hand() {
+            self.in_hand.fetch_sub(1, Ordering::AcqRel);
+        }
+    }
+}
+
+/// A socket that records its progress. It shares the stream with the task that closes it.
+pub struct Socket {
+    stream: Arc<TcpStream>,
+    progress: Arc<Progress>,
+}
+
+impl Socket {
+    /// Wraps a stream.
+    pub fn new(stream: &Arc<TcpStream>, progress: &Arc<Progress>) -> Self {
+        Self {
+            stream: Arc::clone(stream),
+            progress: Arc::clone(progress),
+        }
+    }
+
+    fn poll_send(
+        &self,
+        context: &mut Context<'_>,
+        send: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match send(&self.stream) {
+                Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
+                sent => return Poll::Ready(sent),
+            }
+        }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read(buffer.initialize_unfilled()) {
+                Ok(count) => {
+                    buffer.advance(count);
+                    if count > 0 && self.progress.stage() == Stage::Idle {
+                        self.progress.update(Connection::receive);
+                        self.progress.head_begun.notify_one();
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
+                Err(cause) => return Poll::Ready(Err(cause)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_send(context, |stream| stream.try_write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_send(context, |stream| stream.try_write_vectored(slices))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    /// Called when no byte is left in the buffer above this socket.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.progress.stage() == Stage::Answer {
+            self.progress.update(Connection::flush);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.progress.close();
+        Poll::Ready(shut_down(&self.stream))
+    }
+}
+
+/// Ends the sending direction of a stream.
+pub fn shut_down(stream: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
+}
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -189,6 +189,8 @@
     pub has_engine_list: AtomicBool,
     /// Number of requests in flight.
     pub in_flight: AtomicUsize,
+    /// Number of callers' connections that have something in hand.
+    pub in_hand: Arc<AtomicUsize>,
     dropped_lines: ErrorCounter,
 }
 
@@ -234,6 +236,7 @@
             refuse_from: OnceLock::new(),
             has_engine_list: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
+            in_hand: Arc::default(),
             dropped_lines,
             settings,
         })
--- a/crates/entry/tests/connection.rs
+++ b/crates/entry/tests/connection.rs
@@ -7,6 +7,7 @@
     jayspread_core::{
         call::{Call, Event},
         catalog::Kind,
+        connection::Limits,
     },
     jayspread_entry::front::{
         body::{self, Aborted, Source},
@@ -22,7 +23,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -36,14 +37,26 @@
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const STREAM_TIME: Duration = Duration::from_millis(400);
+const HEAD_TIME: Duration = Duration::from_millis(300);
 const MAX_RESPONSE_BYTES: usize = 1 << 10;
 const REQUEST: &[u8] = b"GET /slow HTTP/1.1\r\nHost: test\r\n\r\n";
 
+const OTHER_REQUEST: &[u8] = b"GET /other HTTP/1.1\r\nHost: test\r\n\r\n";
+
+/// Reads what has arrived; empty if the connection ended.
+async fn read_some(stream: &mut TcpStream) -> String {
+    let mut buffer = [0; MAX_RESPONSE_BYTES];
+    let read = time::timeout(TIMEOUT, stream.read(&mut buffer)).await;
+    let count = read.expect("in time").expect("reads");
+    String::from_utf8_lossy(&buffer[..count]).into_owned()
+}
+
 /// Server of one connection; its handler panics for the path `/panic`, and never answers `/slow`.
 struct Server {
     address: SocketAddr,
     idle_ms: Arc<AtomicU64>,
     shutdown: watch::Sender<Shutdown>,
+    in_hand: Arc<AtomicUsize>,
     /// Endings of the connection, as the dropped requests for `/slow` see them.
     endings: mpsc::UnboundedReceiver<Option<Reason>>,
 }
@@ -63,12 +76,17 @@
         let address = listener.local_addr().expect("is bound");
         let idle_ms = Arc::new(AtomicU64::new(idle_timeout.as_millis() as u64));
         let shutdown = watch::Sender::default();
+        let in_hand = Arc::default();
         let (sender, endings) = mpsc::unbounded_channel();
         let ms = Arc::clone(&idle_ms);
         let settings = Settings {
             max_header_bytes: 0,
-            idle_timeout: move || Duration::from_millis(ms.load(Ordering::Relaxed)),
+            limits: move || Limits {
+                idle: Duration::from_millis(ms.load(Ordering::Relaxed)),
+                head: HEAD_TIME,
+            },
             shutdown: shutdown.subscribe(),
+            in_hand: Arc::clone(&in_hand),
         };
         tokio::spawn(async move {
             let (stream, _) = listener.accept().await.expect("accepts");
@@ -93,6 +111,7 @@
             address,
             idle_ms,
             shutdown,
+            in_hand,
             endings,
         }
     }
@@ -254,3 +273,85 @@
     );
     assert_eq!(ending.is_none(), !reset);
 }
+
+/// Guards against a request whose head is cut off because its connection counts as idle until the
+/// whole head is in.
+#[tokio::test]
+async fn head_that_arrives_in_parts_is_answered_after_the_idle_time() {
+    let server = Server::open(STREAM_TIME).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("connects");
+    time::sleep(STREAM_TIME + HEAD_TIME / 2).await;
+    let (first, second) = OTHER_REQUEST.split_at(10);
+    stream.write_all(first).await.expect("writes");
+    time::sleep(HEAD_TIME - Duration::from_millis(100)).await;
+    stream.write_all(second).await.expect("writes");
+    assert!(read_some(&mut stream).await.starts_with("HTTP/1.1 404"));
+}
+
+/// Guards against a caller that reuses a connection for longer than the host keeps it open, because it
+/// is not told, or because the limit was lowered since.
+#[tokio::test]
+async fn idle_time_that_the_caller_was_told_holds() {
+    let server = Server::open(Duration::from_secs(1)).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("connects");
+    stream.write_all(OTHER_REQUEST).await.expect("writes");
+    let response = read_some(&mut stream).await;
+    assert!(response.contains("keep-alive: timeout=1\r\n"), "{response}");
+    server.idle_ms.store(100, Ordering::Relaxed);
+    time::sleep(Duration::from_millis(900)).await;
+    stream.write_all(OTHER_REQUEST).await.expect("writes");
+    let response = read_some(&mut stream).await;
+    assert!(response.starts_with("HTTP/1.1 404"), "{response}");
+    assert!(!response.contains("keep-alive"), "{response}");
+}
+
+/// Guards against a connection that is held for ever, or closed without an answer, because its caller
+/// does not finish a head.
+#[tokio::test]
+async fn head_that_takes_too_long_is_refused() {
+    let server = Server::open(TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("connects");
+    stream
+        .write_all(b"GET / HTTP/1.1\r\n")
+        .await
+        .expect("writes");
+    assert!(read_some(&mut stream).await.starts_with("HTTP/1.1 408"));
+}
+
+/// Guards against a host that exits without an answer to a request whose head is on its way.
+#[tokio::test]
+async fn incomplete_head_is_refused_when_the_host_is_about_to_exit() {
+    let server = Server::open(TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("connects");
+    stream
+        .write_all(b"GET / HTTP/1.1\r\n")
+        .await
+        .expect("writes");
+    time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(server.in_hand.load(Ordering::Relaxed), 1);
+    server.shutdown.send_replace(Shutdown::Answering);
+    assert!(read_some(&mut stream).await.starts_with("HTTP/1.1 503"));
+    drop(stream);
+    time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(server.in_hand.load(Ordering::Relaxed), 0);
+}
+
+/// Guards against an answer that is not counted as in hand until the caller has it, or is counted for
+/// ever.
+#[tokio::test]
+async fn connection_is_in_hand_from_the_head_to_the_end_of_the_answer() {
+    let server = Server::open(TIMEOUT).await;
+    let mut client = Client::new(server.address, TIMEOUT);
+    for _ in 0..3 {
+        let status = server.status(&mut client, "/other").await;
+        assert_eq!(status, Some(StatusCode::NOT_FOUND));
+        time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(server.in_hand.load(Ordering::Relaxed), 0);
+    }
+    let late = server.status(&mut client, "/late");
+    let (status, in_hand) = tokio::join!(late, async {
+        time::sleep(STREAM_TIME / 2).await;
+        server.in_hand.load(Ordering::Relaxed)
+    });
+    assert_eq!((status, in_hand), (Some(StatusCode::OK), 1));
+}
