A stopping host answers everything that it has in hand

Cause: whether a request may be taken was asked once, at its head; what is in hand was counted from the end of the body to the engine's answer; at the end of the grace period connections were dropped.

Change: core::shutdown decides from the time left and from what a request needs whether it may be taken, passed on for the first time, repeated, resumed or given to a second engine; each of these steps asks it. The process waits for the connections that have something in hand.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod rollout;
 pub mod route;
 pub mod schedule;
+pub mod shutdown;
 pub mod silence;
 pub mod spread;
 pub mod sse;
--- /dev/null
+++ b/crates/core/tests/shutdown.rs
@@ -0,0 +1,316 @@
+//! Tests of what a stopping host takes, passes on and answers.
+
+use {
+    jayspread_core::{
+        call::{Call, Event as CallEvent},
+        catalog::Kind,
+        connection::{Connection, Limits, Stage},
+        shutdown::{Schedule, Step},
+    },
+    proptest::prelude::*,
+    rstest::rstest,
+    std::time::{Duration, Instant},
+};
+
+const LIMITS: Limits = Limits {
+    idle: Duration::from_secs(15),
+    head: Duration::from_secs(3),
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[rstest]
+#[case::first_at_once(Step::Begin, 0, true)]
+#[case::first_late(Step::Begin, 2_799, true)]
+#[case::first_too_late(Step::Begin, 2_800, false)]
+#[case::repeat(Step::Repeat, 6_899, true)]
+#[case::repeat_that_cannot_be_answered(Step::Repeat, 6_900, false)]
+fn step_is_allowed_while_its_answer_can_arrive(
+    #[case] step: Step,
+    #[case] at_ms: u64,
+    #[case] allowed: bool,
+) {
+    let started = Instant::now();
+    let schedule = Schedule::new(started, ms(8_000));
+    let is_allowed = schedule.allows(step, ms(400), started + ms(at_ms));
+    assert_eq!(is_allowed, allowed);
+}
+
+type Change = fn(&mut Connection, Instant);
+
+#[rstest]
+#[case::idle(&[], Some(18_000))]
+#[case::head(&[Connection::receive as Change], Some(3_000))]
+#[case::request(&[Connection::receive, Connection::begin], None)]
+#[case::answer(&[Connection::receive, Connection::begin, Connection::end], None)]
+#[case::sent(
+    &[Connection::receive, Connection::begin, Connection::end, Connection::flush],
+    Some(18_000)
+)]
+#[case::closing(&[Connection::close as Change], None)]
+#[case::promised(&[|connection: &mut Connection, _| connection.promise(ms(20_000))], Some(23_000))]
+#[case::promised_less(&[|connection: &mut Connection, _| connection.promise(ms(10_000))], Some(18_000))]
+fn connection_expires_only_without_a_request(
+    #[case] changes: &[Change],
+    #[case] expiry_ms: Option<u64>,
+) {
+    let now = Instant::now();
+    let mut connection = Connection::new(now);
+    changes
+        .iter()
+        .for_each(|change| change(&mut connection, now));
+    assert_eq!(
+        connection.expiry(LIMITS),
+        expiry_ms.map(|expiry| now + ms(expiry))
+    );
+    let is_idle = connection.stage() == Stage::Idle;
+    assert_eq!(connection.is_in_hand(), !is_idle);
+}
+
+/// What the caller of a request got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Answered,
+    Refused,
+    Failed,
+}
+
+/// A request on a connection of its own.
+struct Request {
+    connection: Connection,
+    call: Call,
+    has_body: bool,
+    /// Whether an engine has the request.
+    is_sent: bool,
+    sent_first_at: Option<Instant>,
+    outcome: Option<Outcome>,
+}
+
+/// Events in the life of the requests of a host.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Wait(u64),
+    Signal,
+    Bytes,
+    Head(usize),
+    Body(usize),
+    Send(usize),
+    NotRun(usize),
+    Lost(usize),
+    Relay(usize),
+    Answer(usize),
+    Flush(usize),
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let request = 0..8_usize;
+    let event = prop_oneof![
+        3 => (1..1_500_u64).prop_map(Event::Wait),
+        1 => Just(Event::Signal),
+        3 => Just(Event::Bytes),
+        3 => request.clone().prop_map(Event::Head),
+        3 => request.clone().prop_map(Event::Body),
+        5 => request.clone().prop_map(Event::Send),
+        1 => request.clone().prop_map(Event::NotRun),
+        1 => request.clone().prop_map(Event::Lost),
+        2 => request.clone().prop_map(Event::Relay),
+        2 => request.clone().prop_map(Event::Answer),
+        3 => request.prop_map(Event::Flush),
+    ];
+    prop::collection::vec(event, 1..120)
+}
+
+/// A host that carries out what the schedule decides.
+struct Host {
+    now: Instant,
+    grace: Duration,
+    need: Duration,
+    kind: Kind,
+    started: Option<Instant>,
+    schedule: Option<Schedule>,
+    requests: Vec<Request>,
+}
+
+impl Host {
+    fn allows(&self, step: Step, need: Duration) -> bool {
+        self.schedule
+            .is_none_or(|schedule| schedule.allows(step, need, self.now))
+    }
+
+    /// Ends a request with the outcome that its state proves, and leaves the answer to be sent.
+    fn give_up(request: &mut Request, now: Instant) {
+        if request.outcome.is_some() {
+            return;
+        }
+        let is_refused = request.call.not_run();
+        request.outcome = Some(if is_refused {
+            Outcome::Refused
+        } else {
+            Outcome::Failed
+        });
+        request.connection.end(now);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let (now, need, kind) = (self.now, self.need, self.kind);
+        let may_begin = self.allows(Step::Begin, need);
+        let may_repeat = self.allows(Step::Repeat, need);
+        let get = |index: usize, requests: &mut Vec<Request>| match requests.len() {
+            0 => None,
+            count => Some(index % count),
+        };
+        match event {
+            Event::Wait(time) => self.wait(ms(time)),
+            Event::Signal if self.schedule.is_none() => {
+                self.started = Some(now);
+                self.schedule = Some(Schedule::new(now, self.grace));
+            }
+            Event::Signal => {}
+            Event::Bytes => {
+                let mut connection = Connection::new(now);
+                connection.receive(now);
+                self.requests.push(Request {
+                    connection,
+                    call: Call::new(kind, 2, None),
+                    has_body: false,
+                    is_sent: false,
+                    sent_first_at: None,
+                    outcome: None,
+                });
+            }
+            Event::Head(index)
+            | Event::Body(index)
+            | Event::Send(index)
+            | Event::NotRun(index)
+            | Event::Lost(index)
+            | Event::Relay(index)
+            | Event::Answer(index)
+            | Event::Flush(index) => {
+                let Some(index) = get(index, &mut self.requests) else {
+                    return;
+                };
+                let request = &mut self.requests[index];
+                let stage = request.connection.stage();
+                if matches!(event, Event::Flush(_)) {
+                    request.connection.flush(now);
+                    return;
+                }
+                if request.outcome.is_some() {
+                    return;
+                }
+                match event {
+                    Event::Head(_) if stage == Stage::Head => {
+                        request.connection.begin(now);
+                        if !may_begin {
+                            Self::give_up(request, now);
+                        }
+                    }
+                    Event::Body(_) if stage == Stage::Request => request.has_body = true,
+                    Event::Send(_) if request.has_body && !request.is_sent => {
+                        let is_first = request.call.sends() == 0;
+                        let may_send = if is_first { may_begin } else { may_repeat };
+                        let can_repeat = request.call.sends() < 2
+                            && (request.call.not_run() || kind.retryable());
+                        if !may_send || !can_repeat {
+                            Self::give_up(request, now);
+                            return;
+                        }
+                        request.call.handle(CallEvent::Send);
+                        request.is_sent = true;
+                        request.sent_first_at.get_or_insert(now);
+                    }
+                    Event::NotRun(_) if request.is_sent && !request.call.response_started() => {
+                        request.call.handle(CallEvent::NotRun);
+                        request.is_sent = false;
+                    }
+                    Event::Lost(_) if request.is_sent => {
+                        request.call.handle(CallEvent::Lost);
+                        request.is_sent = false;
+                    }
+                    Event::Relay(_) if request.is_sent => {
+                        request.call.handle(CallEvent::Relayed(None));
+                    }
+                    Event::Answer(_) if request.is_sent => {
+                        request.call.handle(CallEvent::Done);
+                        request.outcome = Some(Outcome::Answered);
+                        request.connection.end(now);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn wait(&mut self, time: Duration) {
+        self.now += time;
+        let Some(schedule) = self.schedule else {
+            return;
+        };
+        let now = self.now;
+        for request in &mut self.requests {
+            let is_waiting =
+                request.connection.stage() == Stage::Request && request.call.sends() == 0;
+            let is_refused = is_waiting && now >= schedule.refuse_from();
+            if is_refused || now >= schedule.answer_by() {
+                if request.connection.stage() == Stage::Head {
+                    request.connection.begin(now);
+                }
+                Self::give_up(request, now);
+            }
+        }
+    }
+}
+
+proptest! {
+    /// Guards against a request that a stopping host drops in silence, passes on too late, or refuses
+    /// although an engine may run it.
+    #[test]
+    fn every_request_of_a_stopping_host_gets_a_true_answer_in_time(
+        events in events(),
+        grace_ms in 1_000..30_000_u64,
+        need_ms in 1..1_000_u64,
+        kind in prop_oneof![
+            Just(Kind::Once), Just(Kind::Idempotent), Just(Kind::Stream), Just(Kind::Resumable)
+        ],
+    ) {
+        let mut host = Host {
+            now: Instant::now(),
+            grace: ms(grace_ms),
+            need: ms(need_ms),
+            kind,
+            started: None,
+            schedule: None,
+            requests: Vec::new(),
+        };
+        for event in events {
+            host.handle(event);
+        }
+        host.handle(Event::Signal);
+        let (Some(started), Some(schedule)) = (host.started, host.schedule) else {
+            unreachable!("the signal came");
+        };
+        let end = started + host.grace;
+        prop_assert!(started < schedule.refuse_from());
+        prop_assert!(schedule.refuse_from() <= schedule.answer_by());
+        prop_assert!(schedule.listen_until() <= schedule.answer_by());
+        prop_assert!(schedule.answer_by() < schedule.exit_by() && schedule.exit_by() < end);
+        let left = schedule.answer_by().saturating_duration_since(host.now);
+        host.handle(Event::Wait(left.as_millis() as u64 + 1));
+        for request in &mut host.requests {
+            request.connection.flush(host.now);
+            prop_assert!(!request.connection.is_in_hand(), "in hand at the end");
+            prop_assert!(request.outcome.is_some(), "no answer");
+            if request.outcome == Some(Outcome::Refused) {
+                prop_assert!(request.call.not_run(), "false refusal");
+            }
+            if let Some(sent) = request.sent_first_at
+                && sent >= started
+            {
+                prop_assert!(sent < started + ms(2_800).min(host.grace / 2), "passed on late");
+                prop_assert!(sent + host.need < schedule.answer_by(), "passed on in vain");
+            }
+        }
+    }
+}
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -24,6 +24,7 @@
         placement::{Choice, Refusal, Reservation},
         quarantine::Part,
         resume::Run,
+        shutdown::Step,
         silence::{Awaited, Silence},
     },
     jayspread_net::{clock, panic::Panic, telemetry::Value},
@@ -197,10 +198,30 @@
         if self.remaining() < MIN_REMAINING {
             return Err(self.deadline_problem());
         }
-        match self.acquire_engine().await {
-            Ok(choice) => Ok(self.send(&choice, CallEvent::Send)),
-            Err(refusal) => Err(self.refusal_problem(refusal)),
+        let step = if self.call.sends() == 0 {
+            Step::Begin
+        } else {
+            Step::Repeat
+        };
+        if !self.is_allowed(step) {
+            return Err(self.stopping_problem());
         }
+        let choice = match self.acquire_engine().await {
+            Ok(choice) => choice,
+            Err(refusal) => return Err(self.refusal_problem(refusal)),
+        };
+        // The request may have waited for the engine.
+        if !self.is_allowed(step) {
+            drop(Permit::new(&self.state, choice.reservation));
+            return Err(self.stopping_problem());
+        }
+        Ok(self.send(&choice, CallEvent::Send))
+    }
+
+    /// Whether this host, if it is stopping, may still take a step of the request.
+    fn is_allowed(&self, step: Step) -> bool {
+        let need = self.route.latency_target.min(self.remaining());
+        self.state.allows(step, need)
     }
 
     /// Logs what the choice of an engine was based on.
@@ -374,6 +395,9 @@
         if self.is_probe || self.remaining() < MIN_REMAINING {
             return None;
         }
+        if !self.is_allowed(Step::Repeat) {
+            return None;
+        }
         let is_spare = silence.is_long() || self.state.has_spare_retry(&self.service);
         if !is_spare || self.has_quarantined_part() {
             return None;
@@ -445,6 +469,14 @@
         Problem::gateway_timeout()
     }
 
+    /// Problem of a request that this stopping host does not answer any more.
+    pub fn stopping_problem(&self) -> Problem {
+        if self.call.not_run() {
+            return Problem::stopping();
+        }
+        Problem::bad_gateway("stopping")
+    }
+
     fn refusal_problem(&self, refusal: Refusal) -> Problem {
         if self.call.not_run() {
             return Problem::unavailable(refusal.reason(), refusal.retry_after());
--- a/crates/entry/src/front/problem.rs
+++ b/crates/entry/src/front/problem.rs
@@ -12,6 +12,9 @@
 /// Retry delay suggested to a caller whose request was not executed because its handling panicked.
 pub const PANIC_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Retry delay suggested to callers during shutdown; another host can serve them at once.
+const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// An error response, sent as a problem document (RFC 9457).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Problem {
@@ -43,6 +46,11 @@
         }
     }
 
+    /// Creates a problem for a request that a stopping host passes on to no engine.
+    pub fn stopping() -> Self {
+        Self::unavailable("stopping", SHUTDOWN_RETRY_AFTER)
+    }
+
     /// Creates a problem for a request without a usable response from an engine (502); it may have
     /// been executed.
     pub fn bad_gateway(reason: &'static str) -> Self {
--- a/crates/entry/src/front/process.rs
+++ b/crates/entry/src/front/process.rs
@@ -8,7 +8,7 @@
         },
         shared::lock,
     },
-    jayspread_core::restart::Policy,
+    jayspread_core::{restart::Policy, shutdown::Schedule},
     jayspread_net::{
         admin::{self, Admin},
         clock,
@@ -28,14 +28,6 @@
     tokio::time,
 };
 
-/// Time after the stop signal during which the load balancer still sends new connections: it checks
-/// once a second and needs two failed checks.
-const BALANCER_DELAY: Duration = Duration::from_millis(3_200);
-/// Time after the stop signal from which requests are refused: later ones might not finish within
-/// the grace period. The load balancer keeps using a stopping host while too few others are ready.
-const ACCEPT_PERIOD: Duration = Duration::from_millis(2_800);
-/// Part of the grace period reserved for the shutdown itself.
-const GRACE_RESERVE: Duration = Duration::from_millis(400);
 /// Interval between checks whether all requests have finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -145,27 +137,38 @@
     }
 
     /// Shuts down gracefully: reports that it is not ready, serves what the load balancer still
-    /// sends, and waits for requests in flight until the grace period ends. Returns the number of
-    /// requests that were cut off.
+    /// sends, and waits until the callers have their answers or the grace period ends. Returns the
+    /// number of connections that were cut off with something in hand.
     pub async fn close(self) -> usize {
         let started = clock::now();
-        let grace = self.state.settings.bounds.shutdown_grace;
-        let deadline = started + grace.saturating_sub(GRACE_RESERVE);
-        let balancer_deadline = started + BALANCER_DELAY.min(grace / 2);
-        let in_flight = || self.state.in_flight.load(Ordering::Acquire);
-        event!(Info, "stopping", in_flight = in_flight());
+        let schedule = Schedule::new(started, self.state.settings.bounds.shutdown_grace);
+        let in_hand = || self.state.in_hand.load(Ordering::Acquire);
+        event!(
+            Info,
+            "stopping",
+            in_flight = self.state.in_flight.load(Ordering::Acquire),
+            in_hand = in_hand()
+        );
         self.state.socket.set_leaving();
-        let refuse_from = started + ACCEPT_PERIOD.min(grace / 2);
         // `close` consumes the process, so the value is set only once.
-        let _ = self.state.refuse_from.set(refuse_from);
+        let _ = self.state.schedule.set(schedule);
         self.state.shutdown.send_replace(Shutdown::Stopping);
         gossip::tell_region(&self.state);
         self.state.heartbeat_due.notify_one();
-        let is_busy = || in_flight() > 0 || lock(&self.state.quarantine).has_unchecked();
-        while clock::now() < deadline && (clock::now() < balancer_deadline || is_busy()) {
+        let is_busy = || in_hand() > 0 || lock(&self.state.quarantine).has_unchecked();
+        while clock::now() < schedule.answer_by()
+            && (clock::now() < schedule.listen_until() || is_busy())
+        {
             time::sleep(DRAIN_POLL_INTERVAL).await;
         }
-        let cut_off = in_flight();
+        if in_hand() > 0 {
+            event!(Info, "answering", in_hand = in_hand());
+            self.state.shutdown.send_replace(Shutdown::Answering);
+        }
+        while clock::now() < schedule.exit_by() && in_hand() > 0 {
+            time::sleep(CUT_OFF_POLL_INTERVAL).await;
+        }
+        let cut_off = in_hand();
         event!(
             Info,
             "stopped",
@@ -176,7 +179,7 @@
         self.callers.close();
         self.state.shutdown.send_replace(Shutdown::CutOff);
         let cut_off_deadline = clock::now() + CUT_OFF_TIME;
-        while in_flight() > 0 && clock::now() < cut_off_deadline {
+        while in_hand() > 0 && clock::now() < cut_off_deadline {
             time::sleep(CUT_OFF_POLL_INTERVAL).await;
         }
         self.balancer.close();
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -21,6 +21,7 @@
         catalog::{Catalog, Organisation, Route},
         id::Engine,
         quarantine::{self, Part},
+        shutdown::Step,
     },
     jayspread_net::{body, clock, event, panic},
     jayspread_platform::header as wire,
@@ -32,8 +33,6 @@
 
 /// Retry delay suggested to callers while no configuration is known.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Retry delay suggested to callers during shutdown; another host can serve them at once.
-const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Handles a caller's request.
 pub async fn serve(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
@@ -108,7 +107,12 @@
     } = admitted;
     let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
-    let body = read_body(incoming, &catalog).await?;
+    let body = tokio::select! {
+        biased;
+        body = read_body(incoming, &catalog) => body?,
+        // The request would be refused when its body is complete.
+        () = state.refuses_requests() => return Err(Problem::stopping()),
+    };
     let call = Call::new(route.kind, route.max_attempts, request.last_event_id);
     let service = route.pick_service(rand::random()).clone();
     state.count_request(&service);
@@ -172,8 +176,8 @@
     parts: &Parts,
     request: Option<wire::Request>,
 ) -> Result<Admitted, Problem> {
-    if state.refuses_requests() {
-        return Err(Problem::unavailable("stopping", SHUTDOWN_RETRY_AFTER));
+    if !state.allows(Step::Begin, Duration::ZERO) {
+        return Err(Problem::stopping());
     }
     let Some(catalog) = state.catalog() else {
         return Err(Problem::unavailable("starting", STARTUP_RETRY_AFTER));
@@ -190,6 +194,9 @@
     if organisation.is_none() && catalog.keys_required && !route.public {
         return Err(Problem::rejected(StatusCode::UNAUTHORIZED, "unknown_key"));
     }
+    if !state.allows(Step::Begin, route.latency_target) {
+        return Err(Problem::stopping());
+    }
     Ok(Admitted {
         catalog,
         request,
@@ -220,7 +227,13 @@
 
 impl Exchange {
     async fn run(mut self) -> Response<Body> {
-        let problem = match panic::catch_async(self.obtain()).await {
+        let state = Arc::clone(&self.state);
+        let obtained = tokio::select! {
+            biased;
+            obtained = panic::catch_async(self.obtain()) => obtained,
+            () = state.answers_at_once() => Ok(Err(self.stopping_problem())),
+        };
+        let problem = match obtained {
             Ok(Ok((_, Answer::Stream(stream)))) => {
                 let request_id = self.request.id.clone();
                 let response = panic::catch(|| self.stream(*stream));
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -17,6 +17,7 @@
         placement::Table,
         quarantine::Ledger,
         reader,
+        shutdown::{Schedule, Step},
         target::{Bound, Targets},
         window::Budget,
     },
@@ -33,7 +34,10 @@
         },
         time::{Duration, Instant},
     },
-    tokio::sync::{Notify, watch},
+    tokio::{
+        sync::{Notify, watch},
+        time,
+    },
     tracing_appender::non_blocking::ErrorCounter,
 };
 
@@ -183,8 +187,8 @@
     pub grace_until: Mutex<Option<Instant>>,
     /// Progress of the shutdown.
     pub shutdown: watch::Sender<Shutdown>,
-    /// Time from which a stopping process refuses requests.
-    pub refuse_from: OnceLock<Instant>,
+    /// Times of the shutdown; set before `shutdown` tells of it.
+    pub schedule: OnceLock<Schedule>,
     /// Whether the list of engines has been read at least once.
     pub has_engine_list: AtomicBool,
     /// Number of requests in flight.
@@ -233,7 +237,7 @@
             failing_topics: AtomicUsize::new(0),
             grace_until: Mutex::default(),
             shutdown: watch::Sender::default(),
-            refuse_from: OnceLock::new(),
+            schedule: OnceLock::new(),
             has_engine_list: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             in_hand: Arc::default(),
@@ -252,10 +256,30 @@
         *self.shutdown.borrow() >= Shutdown::Stopping
     }
 
-    /// Whether the process is stopping and refuses new requests.
-    pub fn refuses_requests(&self) -> bool {
-        let refuse_from = self.refuse_from.get();
-        refuse_from.is_some_and(|from| clock::now() >= *from)
+    /// Whether a step is allowed for a request that needs `need` from now on to be answered; a
+    /// stopping process allows fewer.
+    pub fn allows(&self, step: Step, need: Duration) -> bool {
+        let schedule = self.schedule.get();
+        schedule.is_none_or(|schedule| schedule.allows(step, need, clock::now()))
+    }
+
+    /// Completes when a stopping process passes on no more requests for the first time.
+    pub async fn refuses_requests(&self) {
+        self.reaches(Shutdown::Stopping).await;
+        if let Some(schedule) = self.schedule.get() {
+            time::sleep_until(schedule.refuse_from().into()).await;
+        }
+    }
+
+    /// Completes when requests in hand must get their final answers.
+    pub async fn answers_at_once(&self) {
+        self.reaches(Shutdown::Answering).await;
+    }
+
+    async fn reaches(&self, progress: Shutdown) {
+        let mut shutdown = self.shutdown.subscribe();
+        // Fails only without a sender, and this state owns it.
+        let _ = shutdown.wait_for(|current| *current >= progress).await;
     }
 
     /// Remaining grace period after a store outage; `None` outside of one.
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -222,6 +222,8 @@
     Stream(Next),
     Flight(Engine, Result<Answer, Failure>),
     Silence,
+    /// The process is about to exit.
+    Stopping,
 }
 
 impl Relay {
@@ -277,29 +279,37 @@
     async fn progress(&mut self) -> Progress {
         let since = self.last_event_at;
         let awaited = self.awaited();
+        let state = Arc::clone(&self.exchange.state);
         let Self {
             stream,
             flights,
             exchange,
             ..
         } = self;
-        match stream {
-            Some(stream) => {
-                let (since, awaited) = match flights.newest() {
-                    Some(flight) => (flight.started, exchange.awaited()),
-                    None => (since, awaited),
-                };
-                tokio::select! {
-                    biased;
-                    next = stream.next_event() => Progress::Stream(next),
-                    (engine, result) = flights.next() => Progress::Flight(engine, result),
-                    () = exchange.silence_check(since, awaited) => Progress::Silence,
+        let progress = async {
+            match stream {
+                Some(stream) => {
+                    let (since, awaited) = match flights.newest() {
+                        Some(flight) => (flight.started, exchange.awaited()),
+                        None => (since, awaited),
+                    };
+                    tokio::select! {
+                        biased;
+                        next = stream.next_event() => Progress::Stream(next),
+                        (engine, result) = flights.next() => Progress::Flight(engine, result),
+                        () = exchange.silence_check(since, awaited) => Progress::Silence,
+                    }
+                }
+                None => {
+                    let (engine, result) = exchange.next_result(flights).await;
+                    Progress::Flight(engine, result)
                 }
             }
-            None => {
-                let (engine, result) = exchange.next_result(flights).await;
-                Progress::Flight(engine, result)
-            }
+        };
+        tokio::select! {
+            biased;
+            progress = progress => progress,
+            () = state.answers_at_once() => Progress::Stopping,
         }
     }
 
@@ -418,6 +428,7 @@
                     self.relieve_silent();
                     Ok(())
                 }
+                Progress::Stopping => Err(self.abort("stopping")),
                 Progress::Flight(engine, result) => {
                     match self.handle_flight(&engine, result).await {
                         Ok(Some(bytes)) => return Some(Ok(bytes)),
