--- a/crates/core/tests/shutdown.rs
+++ b/crates/core/tests/shutdown.rs
@@ -40,6 +40,14 @@
 
 type Change = fn(&mut Connection, Instant);
 
+fn promise_more(connection: &mut Connection, _: Instant) {
+    connection.promise(ms(20_000));
+}
+
+fn promise_less(connection: &mut Connection, _: Instant) {
+    connection.promise(ms(10_000));
+}
+
 #[rstest]
 #[case::idle(&[], Some(18_000))]
 #[case::head(&[Connection::receive as Change], Some(3_000))]
@@ -50,8 +58,8 @@
     Some(18_000)
 )]
 #[case::closing(&[Connection::close as Change], None)]
-#[case::promised(&[|connection: &mut Connection, _| connection.promise(ms(20_000))], Some(23_000))]
-#[case::promised_less(&[|connection: &mut Connection, _| connection.promise(ms(10_000))], Some(18_000))]
+#[case::promised(&[promise_more as Change], Some(23_000))]
+#[case::promised_less(&[promise_less as Change], Some(18_000))]
 fn connection_expires_only_without_a_request(
     #[case] changes: &[Change],
     #[case] expiry_ms: Option<u64>,
@@ -84,6 +92,12 @@
     has_body: bool,
     /// Whether an engine has the request.
     is_sent: bool,
+    /// Whether an engine may run the request, or has run it.
+    may_run: bool,
+    /// Whether no engine that got the request has lost it.
+    is_unspoilt: bool,
+    arrived_at: Instant,
+    answered_at: Option<Instant>,
     sent_first_at: Option<Instant>,
     outcome: Option<Outcome>,
 }
@@ -150,6 +164,7 @@
         } else {
             Outcome::Failed
         });
+        request.answered_at = Some(now);
         request.connection.end(now);
     }
 
@@ -176,6 +191,10 @@
                     call: Call::new(kind, 2, None),
                     has_body: false,
                     is_sent: false,
+                    may_run: false,
+                    is_unspoilt: true,
+                    arrived_at: now,
+                    answered_at: None,
                     sent_first_at: None,
                     outcome: None,
                 });
@@ -219,15 +238,19 @@
                         }
                         request.call.handle(CallEvent::Send);
                         request.is_sent = true;
+                        request.may_run = true;
                         request.sent_first_at.get_or_insert(now);
                     }
                     Event::NotRun(_) if request.is_sent && !request.call.response_started() => {
+                        // An engine that got the request before may still have run it.
+                        request.may_run = !request.is_unspoilt;
                         request.call.handle(CallEvent::NotRun);
                         request.is_sent = false;
                     }
                     Event::Lost(_) if request.is_sent => {
                         request.call.handle(CallEvent::Lost);
                         request.is_sent = false;
+                        request.is_unspoilt = false;
                     }
                     Event::Relay(_) if request.is_sent => {
                         request.call.handle(CallEvent::Relayed(None));
@@ -244,10 +267,21 @@
     }
 
     fn wait(&mut self, time: Duration) {
-        self.now += time;
+        let end = self.now + time;
         let Some(schedule) = self.schedule else {
+            self.now = end;
             return;
         };
+        for due in [schedule.refuse_from(), schedule.answer_by(), end] {
+            if due > self.now && due <= end {
+                self.now = due;
+            }
+            self.end_due(&schedule);
+        }
+    }
+
+    /// Gives the answers that are due.
+    fn end_due(&mut self, schedule: &Schedule) {
         let now = self.now;
         for request in &mut self.requests {
             let is_waiting =
@@ -302,8 +336,13 @@
             request.connection.flush(host.now);
             prop_assert!(!request.connection.is_in_hand(), "in hand at the end");
             prop_assert!(request.outcome.is_some(), "no answer");
+            let is_late = request.answered_at.is_some_and(|at| at > schedule.answer_by());
+            prop_assert!(
+                !is_late || request.arrived_at > schedule.answer_by(),
+                "answered late"
+            );
             if request.outcome == Some(Outcome::Refused) {
-                prop_assert!(request.call.not_run(), "false refusal");
+                prop_assert!(!request.may_run, "false refusal");
             }
             if let Some(sent) = request.sent_first_at
                 && sent >= started
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -142,8 +142,9 @@
     let end = exchange(&stream, &progress, settings, handler).await;
     let closing = async {
         match end {
-            End::Closed => {}
-            End::CutOff => return,
+            // An aborted response leaves the sending direction open.
+            End::Closed => shut_down(&stream),
+            End::CutOff => return report_cut_off(progress.stage()),
             End::HeadTooSlow => refuse(&stream, HEAD_TOO_SLOW, "head_too_slow"),
             End::Stopping => refuse(&stream, STOPPING, "stopping"),
         }
@@ -151,7 +152,9 @@
     };
     tokio::select! {
         () = closing => {}
-        _ = shutdown.wait_for(|shutdown| *shutdown == Shutdown::CutOff) => {}
+        _ = shutdown.wait_for(|shutdown| *shutdown == Shutdown::CutOff) => {
+            report_cut_off(progress.stage());
+        }
     }
 }
 
@@ -195,8 +198,10 @@
             if *stop.borrow() >= Shutdown::Stopping {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
-            } else if let Some(keep_alive) = keep_alive(limits().idle) {
-                progress.promise(limits().idle);
+            } else if let idle = limits().idle
+                && let Some(keep_alive) = keep_alive(idle)
+            {
+                progress.promise(idle);
                 response.headers_mut().insert(KEEP_ALIVE, keep_alive);
             }
             // The closure owns the guard, so the request is in flight until the body is dropped.
@@ -217,13 +222,18 @@
         .serve_connection(TokioIo::new(Socket::new(stream, progress)), service);
     let mut connection = std::pin::pin!(connection);
     loop {
+        if *shutdown.borrow() >= Shutdown::Answering && progress.stage() == Stage::Head {
+            return End::Stopping;
+        }
         let limits = (settings.limits)();
         let wake_at = match progress.expiry(limits) {
             Some(_) if expired => clock::now() + EXPIRY_GRACE,
             Some(expiry) => expiry,
             None => clock::now() + limits.idle,
         };
+        // What has arrived is read before the connection is closed.
         tokio::select! {
+            biased;
             result = connection.as_mut() => {
                 if let Err(cause) = result {
                     report_end(&cause, in_flight.load(Ordering::Acquire), &ending);
@@ -234,12 +244,8 @@
                 let progressed = *shutdown.borrow_and_update();
                 if changed.is_err() || progressed == Shutdown::CutOff {
                     ending.set(Reason::CutOff);
-                    report_cut_off(progress.stage());
                     return End::CutOff;
                 }
-                if progressed == Shutdown::Answering && progress.stage() == Stage::Head {
-                    return End::Stopping;
-                }
             }
             () = progress.head_begun.notified() => {}
             () = time::sleep_until(wake_at.into()), if !closing => {
@@ -273,6 +279,11 @@
     let sent = stream.try_write(response);
     let is_sent = matches!(sent, Ok(count) if count == response.len());
     event!(Info, "head_refused", reason = reason, sent = is_sent);
+    shut_down(stream);
+}
+
+/// Ends the sending direction. It may have ended before.
+fn shut_down(stream: &TcpStream) {
     if let Err(cause) = socket::shut_down(stream) {
         event!(Debug, "caller_connection_ended", reason = cause);
     }
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -95,7 +95,10 @@
     let admitted = match admit(&state, &parts, request) {
         Ok(admitted) => admitted,
         Err(problem) => {
-            body::discard(incoming).await;
+            tokio::select! {
+                () = body::discard(incoming) => {}
+                () = state.answers_at_once() => {}
+            }
             return Err(problem);
         }
     };
@@ -194,7 +197,10 @@
     if organisation.is_none() && catalog.keys_required && !route.public {
         return Err(Problem::rejected(StatusCode::UNAUTHORIZED, "unknown_key"));
     }
-    if !state.allows(Step::Begin, route.latency_target) {
+    let need = route
+        .latency_target
+        .min(request.timeout.unwrap_or(route.timeout));
+    if !state.allows(Step::Begin, need) {
         return Err(Problem::stopping());
     }
     Ok(Admitted {
@@ -228,11 +234,14 @@
 impl Exchange {
     async fn run(mut self) -> Response<Body> {
         let state = Arc::clone(&self.state);
+        let mut fallback = None;
         let obtained = tokio::select! {
             biased;
-            obtained = panic::catch_async(self.obtain()) => obtained,
+            obtained = panic::catch_async(self.obtain(&mut fallback)) => obtained,
             () = state.answers_at_once() => Ok(Err(self.stopping_problem())),
         };
+        // An engine's own error response goes before a problem of this host.
+        let obtained = obtained.map(|result| result.or_else(|problem| fallback.ok_or(problem)));
         let problem = match obtained {
             Ok(Ok((_, Answer::Stream(stream)))) => {
                 let request_id = self.request.id.clone();
@@ -262,14 +271,17 @@
 
     /// Sends the request until an engine has answered: with a whole response, or with the first event
     /// of a stream. While an engine is silent, another one may get the request beside it.
-    async fn obtain(&mut self) -> Result<(Engine, Answer), Problem> {
+    /// `fallback` holds an engine's own error response meanwhile.
+    async fn obtain(
+        &mut self,
+        fallback: &mut Option<(Engine, Answer)>,
+    ) -> Result<(Engine, Answer), Problem> {
         let mut flights = Flights::default();
-        let mut fallback = None;
         loop {
             if flights.is_empty() {
                 match self.start_attempt().await {
                     Ok(flight) => flights.push(flight),
-                    Err(problem) => return fallback.ok_or(problem),
+                    Err(problem) => return Err(problem),
                 }
             }
             let (engine, result) = self.next_result(&mut flights).await;
@@ -286,14 +298,14 @@
                         "engine_error",
                         format_args!("engine={engine} status={}", status.as_u16()),
                     );
-                    fallback = Some((engine, answer));
+                    *fallback = Some((engine, answer));
                 }
                 Err(failure) => {
                     let problem = self.record_failure(failure, &engine);
                     if flights.is_empty()
                         && let Err(problem) = self.authorize_retry(problem)
                     {
-                        return fallback.ok_or(problem);
+                        return Err(problem);
                     }
                 }
             }
--- a/crates/entry/tests/connection.rs
+++ b/crates/entry/tests/connection.rs
@@ -99,6 +99,11 @@
                         let _pending = pending;
                         std::future::pending::<()>().await;
                     }
+                    if request.uri().path() == "/abort" {
+                        let (sender, _) = mpsc::unbounded_channel();
+                        let first = Bytes::from_static(b"id: 1\n\n");
+                        return Response::new(body::streaming(first, Broken(sender)));
+                    }
                     if request.uri().path() == "/late" {
                         return Response::new(body::streaming(Bytes::new(), Late(true)));
                     }
@@ -355,3 +360,19 @@
     });
     assert_eq!((status, in_hand), (Some(StatusCode::OK), 1));
 }
+
+/// Guards against a caller that learns only after a while that its response was aborted.
+#[tokio::test]
+async fn aborted_response_ends_its_connection_at_once() {
+    let server = Server::open(TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("connects");
+    let request = b"GET /abort HTTP/1.1\r\nHost: test\r\n\r\n";
+    stream.write_all(request).await.expect("writes");
+    let mut response = Vec::new();
+    let reading = stream.read_to_end(&mut response);
+    let ended = time::timeout(Duration::from_millis(300), reading).await;
+    assert!(ended.is_ok(), "the connection stays open");
+    drop(stream);
+    time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(server.in_hand.load(Ordering::Relaxed), 0);
+}
