Fetches end, and an older version never blocks the newest

Cause: a fetch had no end but success. The target, version 2, was resumed while the newest made no progress; once version 4 was named, the origin answered 410 to it, its fetch ran on, and a target that is being fetched kept its place although the newest was complete. A superseded fetch with 60 % of its pieces kept the fetch of the newest from starting in the same way, and the two-version limit of the store dropped the entry that a resumed fetch was filling.

Ruled out: the origin, which was back and served version 4; the load orders, of which there were none.

Change: core::fetch decides without sockets or clock what is fetched, when each fetch ends (complete, gone, stalled, superseded, dropped) and when the newest version becomes the target; the agent carries it out and logs each end with its reason (fetch_ended). A version that the origin refuses with 410 and of which no agent holds the missing pieces is gone after 1.5 s and is not resumed; a fetch without a new piece ends after 10 s, and after 2 s no longer keeps the newest from starting. A target of which pieces are missing gives way once the newest is complete. The store keeps the versions that the selector names instead of the two newest.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -6,8 +6,8 @@
         slot::{fetch, pieces::sha256, shared::Shared},
     },
     jayspread_core::{
+        fetch::{self as policy, Count, End, Lane, Selector, View},
         load::{self, Action, Event, Loader, Machine, Report},
-        progress::Tracker,
         schedule::Turn,
         target::Target,
     },
@@ -17,7 +17,7 @@
         engine::{Client, Outcome, State},
     },
     std::{
-        collections::BTreeSet,
+        collections::{BTreeMap, BTreeSet},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -36,23 +36,15 @@
 const PLAN_NOTICE: Duration = Duration::from_millis(2_500);
 /// Consecutive failed reads after which the engine counts as unresponsive.
 const MAX_READ_FAILURES: u32 = 2;
-/// Fraction of a version's pieces in memory from which its fetch is finished although a newer
-/// version is announced: engines that still load the older one spread the transfers of both over
-/// time.
-const FINISH_FRACTION: f64 = 0.6;
-
 /// Control loop of one agent.
 pub struct Controller {
     shared: Arc<Shared>,
     client: Client,
     loader: Loader,
-    /// Version to load next.
-    target: Option<Target>,
-    /// Fetch of the newest version, or of an older one that is nearly complete.
-    fetch_task: Option<(u64, JoinHandle<()>)>,
-    /// Fetch of an older version, resumed because the newest one makes no progress.
-    resumed_fetch: Option<(u64, JoinHandle<()>)>,
-    progress: Tracker,
+    /// Decides what is fetched and loaded.
+    selector: Selector,
+    /// Running fetches with their versions.
+    fetches: BTreeMap<Lane, (u64, JoinHandle<End>)>,
     /// Version whose pieces are staged at the engine.
     staged_version: Option<u64>,
     /// Load order to send next, as decided by the loader.
@@ -62,10 +54,28 @@
     closed_at: Option<Instant>,
 }
 
+/// Evaluates `query` on this engine's turn to load `next`.
+fn with_turn<T>(
+    shared: &Shared,
+    next: Target,
+    serving: u64,
+    query: impl FnOnce(&Turn<'_>) -> T,
+) -> T {
+    let settings = &shared.settings;
+    query(&Turn {
+        host: &settings.host,
+        data_centre: &settings.data_centre,
+        pool: &shared.live_hosts(),
+        serving_version: serving,
+        target: next,
+        cutoff: settings.bounds.rollout_limit,
+    })
+}
+
 impl Drop for Controller {
     /// Leaves what the next control loop of this process expects, as a new process does.
     fn drop(&mut self) {
-        for (_, task) in self.fetch_task.iter().chain(&self.resumed_fetch) {
+        for (_, task) in self.fetches.values() {
             task.abort();
         }
         let mut engine_state = lock(&self.shared.engine_state);
@@ -81,10 +91,8 @@
             shared: Arc::clone(shared),
             client: Client::new(shared.engine_address),
             loader: Loader::new(Machine::new(false, ORDER_TIMEOUT)),
-            target: None,
-            fetch_task: None,
-            resumed_fetch: None,
-            progress: Tracker::default(),
+            selector: Selector::default(),
+            fetches: BTreeMap::new(),
             staged_version: None,
             pending_order: None,
             read_failures: 0,
@@ -103,6 +111,7 @@
                 changed = target_updates.changed() => if changed.is_err() { return },
             }
             self.read_engine().await;
+            self.finish_fetches().await;
             self.update_target();
             self.prepare_load().await;
             self.advance().await;
@@ -153,7 +162,8 @@
 
     /// Records the time from the announcement of a version until the engine serves it.
     fn record_load_time(&self, version: u64) {
-        let Some(target) = self.target.filter(|target| target.version == version) else {
+        let target = self.selector.target();
+        let Some(target) = target.filter(|target| target.version == version) else {
             return;
         };
         let elapsed = clock::now().saturating_duration_since(target.set_at);
@@ -183,7 +193,28 @@
         self.shared.report_now.notify_one();
     }
 
-    /// Fetches the newest announced version and makes it the load target when due.
+    /// Records the fetches that have ended by themselves.
+    async fn finish_fetches(&mut self) {
+        let finished: Vec<Lane> = self
+            .fetches
+            .iter()
+            .filter(|(_, (_, task))| task.is_finished())
+            .map(|(lane, _)| *lane)
+            .collect();
+        for lane in finished {
+            let Some((version, task)) = self.fetches.remove(&lane) else {
+                continue;
+            };
+            let end = task.await.unwrap_or_else(|cause| {
+                event!(Error, "fetch_task_failed", reason = cause);
+                End::Dropped
+            });
+            event!(Info, "fetch_ended", version = version, reason = end);
+            self.selector.finish(lane, end, clock::now());
+        }
+    }
+
+    /// Carries out what the selector decides for the newest announced version.
     fn update_target(&mut self) {
         let Some(source) = self.shared.weight_source() else {
             return;
@@ -191,125 +222,69 @@
         let Some(newest) = lock(&self.shared.targets).newest(&source.model) else {
             return;
         };
-        self.start_fetch(newest);
-        // Hosts may state a better time of the same version later.
-        if let Some(target) = self.target.as_mut()
-            && target.version == newest.version
-        {
-            *target = newest;
-            return;
-        }
-        if self
-            .target
-            .is_some_and(|target| !self.should_replace(target, newest))
-        {
-            return;
-        }
-        if let Some((_, task)) = self.resumed_fetch.take() {
-            task.abort();
-        }
-        self.target = Some(newest);
-        self.staged_version = None;
-        let version: Box<str> = newest.version.to_string().into();
-        let target = load::Target {
-            equivalent_versions: BTreeSet::from([version.clone()]),
-            version,
-            fence: newest.version,
-            piece_count: 0,
+        let engine = lock(&self.shared.engine_state).clone();
+        let own: BTreeMap<u64, Count> = lock(&self.shared.pieces).counts().collect();
+        let view = View {
+            serving: engine.latest.as_ref().map(|_| engine.serving_version()),
+            own: &own,
+            fleet: self.shared.held_piece_count(newest.version),
+            now: clock::now(),
         };
-        event!(Info, "version_wanted", version = newest.version);
-        self.handle(&Event::Target(target));
-    }
-
-    /// Whether the newest version replaces the current target. Until it does, both may be fetched.
-    fn should_replace(&mut self, target: Target, newest: Target) -> bool {
-        if newest.version <= target.version {
-            return false;
-        }
-        let serving = lock(&self.shared.engine_state).serving_version();
-        if serving >= target.version {
-            return true;
-        }
-        let (held, count) = self.shared.held_piece_count(newest.version);
-        let complete = lock(&self.shared.pieces).is_complete(target.version);
-        let progressing = self.progress.observe(newest, held, count, clock::now());
-        if !progressing && !complete && !self.is_fetching(target.version) {
-            self.resume_fetch(target, newest, held);
-        }
-        if count == 0 || held < count {
-            return false;
+        let shared = &self.shared;
+        let skips = |target| {
+            with_turn(shared, target, engine.serving_version(), |turn| {
+                turn.should_skip_for(newest)
+            })
+        };
+        for action in self.selector.step(newest, &view, skips) {
+            match action {
+                policy::Action::Start(lane, version) => self.start_fetch(lane, version, &view),
+                policy::Action::Stop(lane, version, end) => self.stop_fetch(lane, version, end),
+                policy::Action::Aim(target) => self.aim(target),
+            }
         }
-        let should_skip = || self.with_turn(target, serving, |turn| turn.should_skip_for(newest));
-        !complete && !self.is_fetching(target.version) || should_skip()
-    }
-
-    fn is_fetching(&self, version: u64) -> bool {
-        let fetches = self.fetch_task.iter().chain(&self.resumed_fetch);
-        fetches
-            .into_iter()
-            .any(|(fetched_version, task)| *fetched_version == version && !task.is_finished())
+        let needed = self.selector.needed_versions(newest.version);
+        lock(&self.shared.pieces).retain(&needed);
     }
 
-    /// Resumes the fetch of an older version.
-    fn resume_fetch(&mut self, target: Target, newest: Target, held: usize) {
+    fn start_fetch(&mut self, lane: Lane, target: Target, view: &View<'_>) {
         event!(
             Info,
-            "fetch_resumed",
+            "fetching",
             version = target.version,
-            newest = newest.version,
-            held = held
+            lane = format!("{lane:?}"),
+            fleet_held = view.fleet.held
         );
+        lock(&self.shared.pieces).reopen(target.version);
         let shared = Arc::clone(&self.shared);
         let task = tokio::spawn(fetch::run(shared, target.version, target.set_at));
-        self.resumed_fetch = Some((target.version, task));
+        self.fetches.insert(lane, (target.version, task));
     }
 
-    /// Evaluates `query` on this engine's turn to load `next`.
-    fn with_turn<T>(&self, next: Target, serving: u64, query: impl FnOnce(&Turn<'_>) -> T) -> T {
-        let settings = &self.shared.settings;
-        query(&Turn {
-            host: &settings.host,
-            data_centre: &settings.data_centre,
-            pool: &self.shared.live_hosts(),
-            serving_version: serving,
-            target: next,
-            cutoff: settings.bounds.rollout_limit,
-        })
-    }
-
-    /// Starts fetching the newest version unless the engine serves it, all its pieces are in memory,
-    /// or the engine's state has not been read yet.
-    fn start_fetch(&mut self, newest: Target) {
-        let version = newest.version;
-        let serving = lock(&self.shared.engine_state).serving_version() >= version;
-        let complete = lock(&self.shared.pieces).is_complete(version);
-        let state_unknown = lock(&self.shared.engine_state).latest.is_none();
-        if serving || complete || state_unknown || self.has_running_fetch(version) {
-            return;
-        }
-        if let Some((_, task)) = self.fetch_task.take() {
+    fn stop_fetch(&mut self, lane: Lane, version: u64, end: End) {
+        event!(Info, "fetch_ended", version = version, reason = end);
+        if let Some((_, task)) = self.fetches.remove(&lane) {
             task.abort();
         }
-        lock(&self.shared.pieces).reopen(version);
-        event!(Info, "fetching", version = version);
-        let task = tokio::spawn(fetch::run(Arc::clone(&self.shared), version, newest.set_at));
-        self.fetch_task = Some((version, task));
     }
 
-    /// Whether a fetch is running for this version or for an older one that is nearly complete.
-    fn has_running_fetch(&self, version: u64) -> bool {
-        let Some((fetched_version, task)) = &self.fetch_task else {
-            return false;
-        };
-        let nearly_complete = *fetched_version < version
-            && lock(&self.shared.pieces).fraction_held(*fetched_version) >= FINISH_FRACTION;
-        !task.is_finished() && (*fetched_version == version || nearly_complete)
+    /// Makes a version the load target.
+    fn aim(&mut self, target: Target) {
+        self.staged_version = None;
+        let version: Box<str> = target.version.to_string().into();
+        event!(Info, "version_wanted", version = target.version);
+        self.handle(&Event::Target(load::Target {
+            equivalent_versions: BTreeSet::from([version.clone()]),
+            version,
+            fence: target.version,
+            piece_count: 0,
+        }));
     }
 
     /// Stages the target version once all its pieces are in memory, and tells the loader whether it
     /// is this engine's turn to load.
     async fn prepare_load(&mut self) {
-        let Some(target) = self.target else {
+        let Some(target) = self.selector.target() else {
             return;
         };
         let serving = lock(&self.shared.engine_state).serving_version();
@@ -334,7 +309,7 @@
             );
             self.handle(&Event::Verified(target.version.to_string().into()));
         }
-        let due = self.with_turn(target, serving, |turn| turn.due());
+        let due = with_turn(&self.shared, target, serving, |turn| turn.due());
         let now = clock::now();
         let granted = now >= due;
         let planned = serving > 0 && !granted && due < now + PLAN_NOTICE;
--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -13,18 +13,19 @@
     jayspread_core::{
         bundle::Piece,
         chunk::{Peer, Plan, Policy, Source, Step},
+        fetch::{End, Supply},
         id::Host,
-        spread::{self, Fetch, Scheduler},
+        spread::{self, Fetch, Holder, Scheduler},
     },
     jayspread_net::{clock, event},
     jayspread_platform::{
-        engine,
+        Error, engine,
         origin::{self, Manifest},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
         net::{IpAddr, Ipv4Addr, SocketAddr},
-        sync::Arc,
+        sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
     tokio::{task::JoinSet, time},
@@ -46,23 +47,32 @@
 /// Time after the announcement of a version from which agents of all regions are asked.
 const REMOTE_INTEREST_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Status of the origin for a version that it no longer has.
+const GONE: u16 = 410;
+
 /// Fetch of one version.
 struct Job {
     shared: Arc<Shared>,
     source: WeightSource,
     manifest: Arc<Manifest>,
+    /// Whether the origin still has the version.
+    supply: Mutex<Supply>,
 }
 
-/// Fetches all pieces of a version into memory and returns when they are complete. `announced_at`
-/// is the time at which the version was announced.
-pub async fn run(shared: Arc<Shared>, version: u64, announced_at: Instant) {
+/// Fetches pieces of a version into memory until all are held or can't be had. `announced_at` is the
+/// time at which the version was announced.
+pub async fn run(shared: Arc<Shared>, version: u64, announced_at: Instant) -> End {
     let started_at = clock::now();
-    let (source, manifest) = obtain_manifest(&shared, version).await;
+    let mut supply = Supply::default();
+    let Some((source, manifest)) = obtain_manifest(&shared, version, &mut supply).await else {
+        return End::Gone;
+    };
     lock(&shared.pieces).add_version(&manifest);
     let job = Arc::new(Job {
         shared,
         source,
         manifest,
+        supply: Mutex::new(supply),
     });
     job.recover_staged().await;
     // An agent that joins long after the announcement counts from its own start, which leaves it time
@@ -73,7 +83,10 @@
         } else {
             announced_at
         };
-    job.fetch_pieces(takeover_start).await;
+    let end = job.fetch_pieces(takeover_start).await;
+    if end != End::Complete {
+        return end;
+    }
     event!(
         Info,
         "pieces_complete",
@@ -84,23 +97,35 @@
         from_origin = job.shared.metrics.origin_bytes.get(),
         from_peers = job.shared.metrics.peer_bytes.get()
     );
+    End::Complete
 }
 
-/// Obtains the manifest from memory, the origin or another agent, retrying until it succeeds.
-async fn obtain_manifest(shared: &Shared, version: u64) -> (WeightSource, Arc<Manifest>) {
+/// Obtains the manifest from memory, the origin or another agent, retrying until it succeeds or the
+/// version is gone.
+async fn obtain_manifest(
+    shared: &Shared,
+    version: u64,
+    supply: &mut Supply,
+) -> Option<(WeightSource, Arc<Manifest>)> {
     let mut attempt = 0;
     loop {
+        if supply.is_gone(clock::now()) {
+            return None;
+        }
         let Some(source) = shared.weight_source() else {
             time::sleep(RETRY_DELAY).await;
             continue;
         };
         if let Some(manifest) = lock(&shared.pieces).manifest(version) {
-            return (source, manifest);
+            return Some((source, manifest));
         }
         match request_manifest(shared, &source, version, attempt).await {
-            Ok(Some(manifest)) => return (source, Arc::new(manifest)),
+            Ok(Some(manifest)) => return Some((source, Arc::new(manifest))),
             Ok(None) => {}
             Err(cause) => {
+                if matches!(cause, Error::Refused(GONE)) {
+                    supply.refuse(clock::now());
+                }
                 if attempt == 0 {
                     event!(Warn, "manifest_failed", version = version, reason = cause);
                 }
@@ -118,20 +143,16 @@
     source: &WeightSource,
     version: u64,
     attempt: usize,
-) -> Result<Option<Manifest>, Box<str>> {
+) -> Result<Option<Manifest>, Error> {
     let agents = shared.agents();
     if let Some(origin) = source.origin
         && (attempt.is_multiple_of(2) || agents.is_empty())
     {
         let mut client = origin::Client::new(origin);
-        let manifest = client.manifest(&source.model, version).await;
-        let manifest = manifest.map_err(|cause| cause.to_string())?;
+        let manifest = client.manifest(&source.model, version).await?;
         if manifest.version != version {
-            return Err(format!(
-                "origin returned the manifest of version {}",
-                manifest.version
-            )
-            .into());
+            let reason = format!("manifest of version {}", manifest.version);
+            return Err(Error::Malformed(reason.into()));
         }
         return Ok(Some(manifest));
     }
@@ -139,7 +160,8 @@
         return Ok(None);
     };
     let peer = SocketAddr::new(IpAddr::V4(*address), shared.settings.internal_port);
-    serve::fetch_manifest(peer, version).await
+    let manifest = serve::fetch_manifest(peer, version).await;
+    manifest.map_err(Error::Malformed)
 }
 
 impl Job {
@@ -173,9 +195,9 @@
         digests.map(|digest| by_digest[digest].clone()).collect()
     }
 
-    /// Requests pieces until all are held. The delays before a piece is fetched in place of its
+    /// Requests pieces until the fetch ends. The delays before a piece is fetched in place of its
     /// leader count from `takeover_start`.
-    async fn fetch_pieces(self: &Arc<Self>, takeover_start: Instant) {
+    async fn fetch_pieces(self: &Arc<Self>, takeover_start: Instant) -> End {
         let settings = &self.shared.settings;
         let stagger = rand::random();
         let region = settings.region(&settings.data_centre);
@@ -190,7 +212,13 @@
                 .filter(|index| self.is_held(*index))
                 .for_each(|index| scheduler.mark_held(index));
             if scheduler.is_complete() {
-                return;
+                return End::Complete;
+            }
+            if lock(&self.shared.pieces)
+                .manifest(self.manifest.version)
+                .is_none()
+            {
+                return End::Dropped;
             }
             let now = clock::now();
             if now.saturating_duration_since(planned_at) >= REPLAN_INTERVAL {
@@ -206,6 +234,9 @@
                 asked_at = Some(now);
             }
             let holders = self.shared.holders(self.manifest.version, count);
+            if lock(&self.supply).is_gone(now) && self.is_missing_everywhere(&holders) {
+                return End::Gone;
+            }
             let elapsed = now.saturating_duration_since(takeover_start);
             while let Some(request) = scheduler.next_fetch(&holders, elapsed, &mut rand::rng()) {
                 let job = Arc::clone(self);
@@ -216,7 +247,7 @@
                     Ok(index) => scheduler.finish_fetch(index),
                     Err(cause) => {
                         event!(Error, "fetch_task_failed", reason = cause);
-                        return;
+                        return End::Dropped;
                     }
                 },
                 () = self.shared.holders_changed.notified() => {}
@@ -225,6 +256,14 @@
         }
     }
 
+    /// Whether there is a piece that neither this agent nor another one holds.
+    fn is_missing_everywhere(&self, holders: &BTreeMap<Host, Holder>) -> bool {
+        let is_held_elsewhere =
+            |index: &usize| holders.values().any(|holder| holder.pieces.contains(index));
+        (0..self.manifest.digests.len())
+            .any(|index| !self.is_held(index) && !is_held_elsewhere(&index))
+    }
+
     /// Addresses of the agents that are asked for reports on their pieces.
     fn sources(&self, plan: &[Step], overdue: bool) -> BTreeSet<Ipv4Addr> {
         let settings = &self.shared.settings;
@@ -298,10 +337,14 @@
         let request = client.piece(&self.source.model, version, index, bytes, TRANSFER_TIMEOUT);
         match request.await {
             Ok(piece) => {
+                lock(&self.supply).confirm();
                 self.shared.metrics.origin_bytes.inc_by(piece.len() as u64);
                 self.store_verified(piece, index, "origin")
             }
             Err(cause) => {
+                if matches!(cause, Error::Refused(GONE)) {
+                    lock(&self.supply).refuse(clock::now());
+                }
                 self.shared.metrics.fetch_failed.inc();
                 event!(Debug, "origin_failed", index = index, reason = cause);
                 PieceReply::NotFound
--- a/crates/agent/src/slot/pieces.rs
+++ b/crates/agent/src/slot/pieces.rs
@@ -2,15 +2,15 @@
 
 use {
     bytes::Bytes,
-    jayspread_core::id::ChunkHash,
+    jayspread_core::{fetch::Count, id::ChunkHash},
     jayspread_platform::origin::Manifest,
     sha2::{Digest, Sha256},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
-/// Two versions: the one to load next and a newer one that is fetched at the same time.
-const MAX_VERSIONS: usize = 2;
-
 /// SHA-256 digest of a piece, as listed in manifests.
 pub fn sha256(bytes: &[u8]) -> ChunkHash {
     Sha256::digest(bytes).into()
@@ -38,7 +38,7 @@
 }
 
 impl Pieces {
-    /// Adds an empty entry for a version and drops the oldest versions over the limit.
+    /// Adds an empty entry for a version unless there is one.
     pub fn add_version(&mut self, manifest: &Arc<Manifest>) {
         let count = manifest.digests.len();
         self.versions
@@ -48,9 +48,12 @@
                 pieces: vec![None; count],
                 released: false,
             });
-        while self.versions.len() > MAX_VERSIONS {
-            self.versions.pop_first();
-        }
+    }
+
+    /// Drops all versions but these and the one that the engine serves.
+    pub fn retain(&mut self, needed: &BTreeSet<u64>) {
+        self.versions
+            .retain(|version, entry| entry.released || needed.contains(version));
     }
 
     /// Manifest of a version, if the version is in the store.
@@ -92,14 +95,6 @@
         entry.map_or_else(Vec::new, |entry| entry.indices().collect())
     }
 
-    /// Fraction of a version's pieces that is in memory, from 0 to 1.
-    pub fn fraction_held(&self, version: u64) -> f64 {
-        let Some(entry) = self.versions.get(&version) else {
-            return 0.0;
-        };
-        entry.indices().count() as f64 / entry.pieces.len().max(1) as f64
-    }
-
     /// Whether all pieces of a version are in memory.
     pub fn is_complete(&self, version: u64) -> bool {
         let entry = self.versions.get(&version);
@@ -123,9 +118,13 @@
         }
     }
 
-    /// Versions with the number of their pieces in memory.
-    pub fn counts(&self) -> impl Iterator<Item = (u64, usize)> {
+    /// Versions with the numbers of their pieces in memory.
+    pub fn counts(&self) -> impl Iterator<Item = (u64, Count)> {
+        let count = |entry: &Entry| Count {
+            held: entry.indices().count(),
+            total: entry.pieces.len(),
+        };
         let versions = self.versions.iter();
-        versions.map(|(version, entry)| (*version, entry.indices().count()))
+        versions.map(move |(version, entry)| (*version, count(entry)))
     }
 }
--- a/crates/agent/src/slot/shared.rs
+++ b/crates/agent/src/slot/shared.rs
@@ -10,6 +10,7 @@
         slot::{gossip, metrics::Metrics, pieces::Pieces},
     },
     jayspread_core::{
+        fetch::Count,
         id::{DataCentre, Host},
         spread::Holder,
         target::Targets,
@@ -208,12 +209,11 @@
         holders
     }
 
-    /// Number of a version's pieces held by this agent or any agent with a recent report, and the
-    /// total number of pieces. Both are 0 while the manifest is unknown.
-    pub fn held_piece_count(&self, version: u64) -> (usize, usize) {
+    /// Number of a version's pieces held by this agent or any agent with a recent report.
+    pub fn held_piece_count(&self, version: u64) -> Count {
         let manifest = lock(&self.pieces).manifest(version);
         let Some(count) = manifest.map(|m| m.digests.len()) else {
-            return (0, 0);
+            return Count::default();
         };
         let own = lock(&self.pieces).indices(version);
         let mut held: BTreeSet<usize> = own.into_iter().collect();
@@ -223,7 +223,10 @@
             }
             held.extend(holder.pieces);
         }
-        (held.len(), count)
+        Count {
+            held: held.len(),
+            total: count,
+        }
     }
 
     /// Addresses and data centres of all other known agents, by host.
@@ -258,7 +261,10 @@
                 (model.to_string(), value)
             })
             .collect();
-        let pieces: BTreeMap<u64, usize> = lock(&self.pieces).counts().collect();
+        let pieces: BTreeMap<u64, usize> = lock(&self.pieces)
+            .counts()
+            .map(|(version, count)| (version, count.held))
+            .collect();
         json!({
             "host": self.settings.host,
             "engine": self.engine_address.to_string(),
--- /dev/null
+++ b/crates/core/src/fetch.rs
@@ -0,0 +1,316 @@
+//! Which versions an agent fetches, when each fetch ends, and which version its engine loads next.
+//!
+//! The newest version is fetched first. The target, which the engine loads next, may be an older one
+//! that came first or whose pieces are easier to get. Every fetch ends: with all pieces, once its
+//! version can't be had any more or isn't needed, or after a time without a new piece. No fetch of an
+//! older version keeps the newest from beginning for longer than `PRIORITY_LIMIT` without a new
+//! piece, and a target of which pieces are missing gives way once the newest version is complete.
+
+use {
+    crate::{progress::Tracker, target::Target},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time without a new piece after which a fetch ends. Pieces that their leaders did not fetch come
+/// from the origin within 5 s, and a transfer takes at most 2 s.
+pub const STALL_LIMIT: Duration = Duration::from_secs(10);
+/// Time without a new piece after which the fetch of a nearly complete older version no longer keeps
+/// that of the newest from beginning.
+pub const PRIORITY_LIMIT: Duration = Duration::from_secs(2);
+/// Time after the end of a fetch from which the same version may be fetched again.
+pub const RESTART_DELAY: Duration = Duration::from_secs(1);
+/// Time after the origin's first refusal of a version within which other agents can report that they
+/// hold its pieces.
+pub const REPORT_TIME: Duration = Duration::from_millis(1_500);
+/// Fraction of a version's pieces in memory from which its fetch is finished although a newer
+/// version is announced: engines that still load the older one spread the transfers of both over
+/// time.
+const FINISH_FRACTION: f64 = 0.6;
+
+/// Number of a version's pieces that are held.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Pieces held.
+    pub held: usize,
+    /// Pieces of the version; 0 while its manifest is unknown.
+    pub total: usize,
+}
+
+impl Count {
+    /// Whether all pieces are held.
+    pub fn is_complete(self) -> bool {
+        self.total > 0 && self.held >= self.total
+    }
+
+    fn is_nearly_complete(self) -> bool {
+        self.total > 0 && self.held as f64 >= self.total as f64 * FINISH_FRACTION
+    }
+}
+
+/// State of the agent and of the fleet at one time.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// Version that the engine serves, 0 for none; `None` until its state has been read.
+    pub serving: Option<u64>,
+    /// Pieces in the memory of this agent, by version.
+    pub own: &'a BTreeMap<u64, Count>,
+    /// Pieces of the newest version that any agent holds.
+    pub fleet: Count,
+    /// Time of this state.
+    pub now: Instant,
+}
+
+impl View<'_> {
+    fn own(&self, version: u64) -> Count {
+        self.own.get(&version).copied().unwrap_or_default()
+    }
+}
+
+/// Fetches that may run at the same time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lane {
+    /// Of the newest version, or of an older one that is nearly complete.
+    Newest,
+    /// Of the target, while the newest version makes no progress.
+    Target,
+}
+
+/// Reason for which a fetch ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// All pieces are held.
+    Complete,
+    /// The origin no longer has the version, and no agent has the missing pieces.
+    Gone,
+    /// No new piece has come for a time.
+    Stalled,
+    /// A newer version is fetched, or will be loaded, instead.
+    Superseded,
+    /// The version was dropped from memory, or its source has changed to another model.
+    Dropped,
+}
+
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            End::Complete => "complete",
+            End::Gone => "gone",
+            End::Stalled => "stalled",
+            End::Superseded => "superseded",
+            End::Dropped => "dropped",
+        })
+    }
+}
+
+/// Decision to carry out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Start fetching a version.
+    Start(Lane, Target),
+    /// Stop the fetch of a version.
+    Stop(Lane, u64, End),
+    /// Load this version next.
+    Aim(Target),
+}
+
+/// Whether a version can still be had.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Supply {
+    refused_at: Option<Instant>,
+}
+
+impl Supply {
+    /// Records that the origin no longer has the version.
+    pub fn refuse(&mut self, now: Instant) {
+        self.refused_at.get_or_insert(now);
+    }
+
+    /// Records that the origin has the version.
+    pub fn confirm(&mut self) {
+        self.refused_at = None;
+    }
+
+    /// Whether the version can't be had any more, if no agent is known that holds what is missing.
+    pub fn is_gone(&self, now: Instant) -> bool {
+        self.refused_at
+            .is_some_and(|at| now.saturating_duration_since(at) >= REPORT_TIME)
+    }
+}
+
+/// A running fetch.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    version: u64,
+    held: usize,
+    /// Time of the last new piece, or of the start.
+    grown_at: Instant,
+}
+
+impl Run {
+    fn is_stalled(&self, limit: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.grown_at) >= limit
+    }
+}
+
+/// Fetches and target of one agent.
+#[derive(Debug, Default)]
+pub struct Selector {
+    target: Option<Target>,
+    runs: BTreeMap<Lane, Run>,
+    progress: Tracker,
+    /// Newest version that could not be had any more.
+    gone: u64,
+    /// Ends of the last fetches, by version.
+    ended: BTreeMap<u64, Instant>,
+}
+
+impl Selector {
+    /// Version to load next.
+    pub fn target(&self) -> Option<Target> {
+        self.target
+    }
+
+    /// Versions whose pieces are needed in memory.
+    pub fn needed_versions(&self, newest: u64) -> BTreeSet<u64> {
+        let runs = self.runs.values().map(|run| run.version);
+        let target = self.target.map(|target| target.version);
+        runs.chain(target).chain([newest]).collect()
+    }
+
+    /// Records that a fetch has ended by itself.
+    pub fn finish(&mut self, lane: Lane, end: End, now: Instant) {
+        let Some(run) = self.runs.remove(&lane) else {
+            return;
+        };
+        self.ended.insert(run.version, now);
+        if end == End::Gone {
+            self.gone = self.gone.max(run.version);
+        }
+    }
+
+    /// Decides what to fetch and to load, given the newest announced version. `skips` states whether
+    /// the engine should leave out the target, in its turn, for the newest version.
+    pub fn step(
+        &mut self,
+        newest: Target,
+        view: &View<'_>,
+        skips: impl Fn(Target) -> bool,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for run in self.runs.values_mut() {
+            let held = view.own(run.version).held;
+            if held > run.held {
+                run.grown_at = view.now;
+            }
+            run.held = held;
+        }
+        for lane in [Lane::Newest, Lane::Target] {
+            if let Some(end) = self.reason_to_stop(lane, newest, view) {
+                self.stop(lane, end, view.now, &mut actions);
+            }
+        }
+        self.start_newest(newest, view, &mut actions);
+        if self.should_aim(newest, view, skips, &mut actions) {
+            self.stop(Lane::Target, End::Superseded, view.now, &mut actions);
+            self.target = Some(newest);
+            actions.push(Action::Aim(newest));
+        }
+        let needed = self.needed_versions(newest.version);
+        self.ended.retain(|version, _| needed.contains(version));
+        actions
+    }
+
+    fn stop(&mut self, lane: Lane, end: End, now: Instant, actions: &mut Vec<Action>) {
+        if let Some(run) = self.runs.remove(&lane) {
+            self.ended.insert(run.version, now);
+            actions.push(Action::Stop(lane, run.version, end));
+        }
+    }
+
+    fn start(&mut self, lane: Lane, target: Target, view: &View<'_>, actions: &mut Vec<Action>) {
+        let run = Run {
+            version: target.version,
+            held: view.own(target.version).held,
+            grown_at: view.now,
+        };
+        self.runs.insert(lane, run);
+        actions.push(Action::Start(lane, target));
+    }
+
+    fn may_start(&self, version: u64, now: Instant) -> bool {
+        let is_running = self.runs.values().any(|run| run.version == version);
+        let ended_at = self.ended.get(&version);
+        !is_running && ended_at.is_none_or(|at| now >= *at + RESTART_DELAY)
+    }
+
+    fn reason_to_stop(&self, lane: Lane, newest: Target, view: &View<'_>) -> Option<End> {
+        let run = self.runs.get(&lane)?;
+        if run.is_stalled(STALL_LIMIT, view.now) {
+            return Some(End::Stalled);
+        }
+        if run.version >= newest.version {
+            return None;
+        }
+        let is_superseded = view.own(newest.version).is_complete()
+            || lane == Lane::Newest && !view.own(run.version).is_nearly_complete();
+        if is_superseded {
+            return Some(End::Superseded);
+        }
+        let blocks = lane == Lane::Newest && run.is_stalled(PRIORITY_LIMIT, view.now);
+        blocks.then_some(End::Stalled)
+    }
+
+    /// Starts fetching the newest version unless the engine serves it, all its pieces are in memory,
+    /// or the engine's state has not been read yet.
+    fn start_newest(&mut self, newest: Target, view: &View<'_>, actions: &mut Vec<Action>) {
+        let is_needed = view.serving.is_some_and(|serving| serving < newest.version)
+            && !view.own(newest.version).is_complete();
+        if is_needed
+            && !self.runs.contains_key(&Lane::Newest)
+            && self.may_start(newest.version, view.now)
+        {
+            self.start(Lane::Newest, newest, view, actions);
+        }
+    }
+
+    /// Whether the newest version becomes the target. Until it does, both may be fetched.
+    fn should_aim(
+        &mut self,
+        newest: Target,
+        view: &View<'_>,
+        skips: impl Fn(Target) -> bool,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(target) = self.target else {
+            return true;
+        };
+        if newest.version == target.version {
+            // Hosts may state a better time of the same version later.
+            self.target = Some(newest);
+            return false;
+        }
+        if newest.version < target.version {
+            return false;
+        }
+        if view.serving.unwrap_or(0) >= target.version {
+            return true;
+        }
+        let Count { held, total } = view.fleet;
+        let progresses = self.progress.observe(newest, held, total, view.now);
+        if view.own(target.version).is_complete() {
+            return view.fleet.is_complete() && skips(target);
+        }
+        if target.version <= self.gone || view.own(newest.version).is_complete() {
+            return true;
+        }
+        if !progresses && self.may_start(target.version, view.now) {
+            self.start(Lane::Target, target, view, actions);
+        }
+        let is_running = self.runs.values().any(|run| run.version == target.version);
+        view.fleet.is_complete() && (!is_running || skips(target))
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fetch.rs
@@ -0,0 +1,425 @@
+//! Tests of the choice of what to fetch and to load: a table of stuck fetches, and a model of agents,
+//! an origin and versions that come in any order.
+
+use {
+    jayspread_core::{
+        fetch::{
+            Action, Count, End, Lane, PRIORITY_LIMIT, RESTART_DELAY, STALL_LIMIT, Selector, Supply,
+            View,
+        },
+        target::Target,
+    },
+    proptest::prelude::*,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+const PIECES: usize = 12;
+const TICK: Duration = Duration::from_millis(50);
+/// Time from the return of the origin, or the last version, until all agents hold the newest.
+const BOUND: Duration = Duration::from_secs(20);
+
+fn target(version: u64, set_at: Instant) -> Target {
+    Target {
+        version,
+        set_at,
+        assumed: false,
+    }
+}
+
+fn counts(held: &[(u64, usize)]) -> BTreeMap<u64, Count> {
+    let count = |held| Count {
+        held,
+        total: PIECES,
+    };
+    held.iter()
+        .map(|(version, held)| (*version, count(*held)))
+        .collect()
+}
+
+/// One selector whose engine serves version 1, with the pieces in its memory.
+struct Fixture {
+    selector: Selector,
+    start: Instant,
+    own: BTreeMap<u64, Count>,
+    fleet: usize,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        Self {
+            selector: Selector::default(),
+            start: Instant::now(),
+            own: BTreeMap::new(),
+            fleet: 0,
+        }
+    }
+
+    /// Actions at `ms` after the start, when `version` is the newest and was named at `named_ms`.
+    fn step(&mut self, version: u64, named_ms: u64, ms: u64) -> Vec<Action> {
+        let at = |ms| self.start + Duration::from_millis(ms);
+        let view = View {
+            serving: Some(1),
+            own: &self.own,
+            fleet: Count {
+                held: self.fleet,
+                total: PIECES,
+            },
+            now: at(ms),
+        };
+        let newest = target(version, at(named_ms));
+        self.selector.step(newest, &view, |_| false)
+    }
+
+    fn target(&self) -> Option<u64> {
+        self.selector.target().map(|target| target.version)
+    }
+}
+
+/// Guards against a target that can't be had any more and keeps the newest version from being
+/// loaded.
+#[test]
+fn incomplete_target_gives_way_to_a_complete_newest_version() {
+    let mut fixture = Fixture::new();
+    fixture.step(2, 0, 0);
+    fixture.step(4, 4_000, 4_000);
+    let resumed = fixture.step(4, 4_000, 6_000);
+    assert!(
+        resumed.iter().any(
+            |action| matches!(action, Action::Start(Lane::Target, target) if target.version == 2)
+        ),
+        "{resumed:?}"
+    );
+    (fixture.own, fixture.fleet) = (counts(&[(2, 7), (4, PIECES)]), PIECES);
+    let actions = fixture.step(4, 4_000, 7_000);
+    assert!(
+        actions.contains(&Action::Stop(Lane::Target, 2, End::Superseded)),
+        "{actions:?}"
+    );
+    assert_eq!(fixture.target(), Some(4));
+}
+
+/// Guards against a resumed fetch that is told that the version is gone and is resumed for ever.
+#[test]
+fn target_that_is_gone_gives_way_and_is_not_resumed() {
+    let mut fixture = Fixture::new();
+    fixture.step(2, 0, 0);
+    fixture.step(4, 4_000, 4_000);
+    fixture.step(4, 4_000, 6_000);
+    let now = fixture.start + Duration::from_millis(6_500);
+    fixture.selector.finish(Lane::Target, End::Gone, now);
+    let actions = fixture.step(4, 4_000, 6_550);
+    assert!(
+        matches!(actions[..], [Action::Aim(target)] if target.version == 4),
+        "{actions:?}"
+    );
+    assert!(fixture.step(4, 4_000, 12_000).is_empty());
+}
+
+/// Guards against a fetch that holds nearly all pieces, gets no other one, and keeps the newest
+/// version from being fetched.
+#[test]
+fn nearly_complete_fetch_keeps_the_newest_waiting_only_while_it_progresses() {
+    let mut fixture = Fixture::new();
+    fixture.step(2, 0, 0);
+    fixture.own = counts(&[(2, PIECES - 1)]);
+    fixture.step(2, 0, 1_000);
+    assert!(fixture.step(3, 1_100, 1_100).is_empty(), "still progresses");
+    let stalled_ms = 1_000 + PRIORITY_LIMIT.as_millis() as u64;
+    let actions = fixture.step(3, 1_100, stalled_ms);
+    assert!(
+        actions.contains(&Action::Stop(Lane::Newest, 2, End::Stalled)),
+        "{actions:?}"
+    );
+    assert!(
+        matches!(actions[1], Action::Start(Lane::Newest, target) if target.version == 3),
+        "{actions:?}"
+    );
+}
+
+/// Guards against a fetch of the newest version that waits for ever on what it took for true.
+#[test]
+fn stalled_fetch_of_the_newest_version_ends_and_starts_again() {
+    let mut fixture = Fixture::new();
+    fixture.step(2, 0, 0);
+    let stall_ms = STALL_LIMIT.as_millis() as u64;
+    assert!(fixture.step(2, 0, stall_ms - 50).is_empty());
+    let actions = fixture.step(2, 0, stall_ms);
+    assert_eq!(actions, [Action::Stop(Lane::Newest, 2, End::Stalled)]);
+    let restart_ms = stall_ms + RESTART_DELAY.as_millis() as u64;
+    assert!(fixture.step(2, 0, restart_ms - 50).is_empty());
+    assert_eq!(fixture.step(2, 0, restart_ms).len(), 1);
+}
+
+/// A running fetch of the model.
+#[derive(Debug, Default, Clone, Copy)]
+struct Run {
+    version: u64,
+    supply: Supply,
+}
+
+#[derive(Debug)]
+struct Agent {
+    selector: Selector,
+    own: BTreeMap<u64, Count>,
+    runs: BTreeMap<Lane, Run>,
+    serving: u64,
+    /// Version that the engine loads, and the time at which it serves it.
+    loading: Option<(u64, Instant)>,
+    known: Option<Target>,
+    frozen_until: Instant,
+}
+
+impl Agent {
+    fn new(serving: u64, now: Instant) -> Self {
+        Self {
+            selector: Selector::default(),
+            own: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            serving,
+            loading: None,
+            known: None,
+            frozen_until: now,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Disruption {
+    Name,
+    /// The origin is away for ticks.
+    OriginDown(u32),
+    /// The agent's process starts again; the engine keeps its version.
+    Kill(usize),
+    /// The engine starts again without a version.
+    Crash(usize),
+    /// The agent stands still for ticks.
+    Freeze(usize, u32),
+    /// No agent gives pieces to others for ticks.
+    Partition(u32),
+}
+
+const AGENTS: usize = 3;
+
+#[derive(Debug)]
+struct Fleet {
+    agents: Vec<Agent>,
+    now: Instant,
+    newest: Option<Target>,
+    origin_back: Instant,
+    joined_at: Instant,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            agents: (0..AGENTS).map(|_| Agent::new(1, now)).collect(),
+            now,
+            newest: None,
+            origin_back: now,
+            joined_at: now,
+        }
+    }
+
+    fn disrupt(&mut self, disruption: Disruption) {
+        let now = self.now;
+        match disruption {
+            Disruption::Name => {
+                let version = self.newest.map_or(2, |newest| newest.version + 1);
+                self.newest = Some(target(version, now));
+            }
+            Disruption::OriginDown(ticks) => self.origin_back = now + TICK * ticks,
+            Disruption::Kill(agent) => {
+                let serving = self.agents[agent].serving;
+                self.agents[agent] = Agent::new(serving, now);
+            }
+            Disruption::Crash(agent) => {
+                self.agents[agent].serving = 0;
+                self.agents[agent].loading = None;
+            }
+            Disruption::Freeze(agent, ticks) => {
+                self.agents[agent].frozen_until = now + TICK * ticks;
+            }
+            Disruption::Partition(ticks) => self.joined_at = now + TICK * ticks,
+        }
+    }
+
+    /// Pieces of a version that another agent passes on.
+    fn passed_on(&self, agent: usize, version: u64) -> usize {
+        if self.now < self.joined_at {
+            return 0;
+        }
+        let others = (0..AGENTS).filter(|other| *other != agent);
+        let held = others.map(|other| {
+            let other = &self.agents[other];
+            let in_memory = other.own.get(&version).map_or(0, |count| count.held);
+            if other.serving == version {
+                PIECES
+            } else {
+                in_memory
+            }
+        });
+        held.max().unwrap_or(0)
+    }
+
+    fn origin_has(&self, version: u64) -> Option<bool> {
+        let newest = self.newest.map_or(0, |newest| newest.version);
+        (self.now >= self.origin_back).then_some(version + 2 > newest)
+    }
+
+    /// Advances a fetch by at most one piece; returns its end.
+    fn fetch(&mut self, agent: usize, lane: Lane) -> Option<End> {
+        let mut run = self.agents[agent].runs[&lane];
+        let version = run.version;
+        let passed_on = self.passed_on(agent, version);
+        let count = self.agents[agent].own.get(&version).copied();
+        let count = count.unwrap_or(Count {
+            held: 0,
+            total: PIECES,
+        });
+        if count.is_complete() {
+            return Some(End::Complete);
+        }
+        let origin = self.origin_has(version);
+        match origin {
+            Some(true) => run.supply.confirm(),
+            Some(false) => run.supply.refuse(self.now),
+            None => {}
+        }
+        let grows = origin == Some(true) || passed_on > count.held;
+        if grows {
+            let held = count.held + 1;
+            self.agents[agent]
+                .own
+                .insert(version, Count { held, ..count });
+        }
+        self.agents[agent].runs.insert(lane, run);
+        (!grows && run.supply.is_gone(self.now)).then_some(End::Gone)
+    }
+
+    fn advance_agent(&mut self, index: usize) {
+        let now = self.now;
+        if now < self.agents[index].frozen_until {
+            return;
+        }
+        for lane in [Lane::Newest, Lane::Target] {
+            if self.agents[index].runs.contains_key(&lane)
+                && let Some(end) = self.fetch(index, lane)
+            {
+                self.agents[index].runs.remove(&lane);
+                self.agents[index].selector.finish(lane, end, now);
+            }
+        }
+        let Some(newest) = self.newest else {
+            return;
+        };
+        let own_count = |agent: &Agent| {
+            let own = agent.own.get(&newest.version);
+            own.map_or(0, |count| count.held)
+        };
+        let held = self
+            .passed_on(index, newest.version)
+            .max(own_count(&self.agents[index]));
+        let agent = &mut self.agents[index];
+        agent.known = Some(newest);
+        let view = View {
+            serving: Some(agent.serving),
+            own: &agent.own,
+            fleet: Count {
+                held,
+                total: PIECES,
+            },
+            now,
+        };
+        for action in agent.selector.step(newest, &view, |_| false) {
+            match action {
+                Action::Start(lane, target) => {
+                    let run = Run {
+                        version: target.version,
+                        ..Run::default()
+                    };
+                    let previous = agent.runs.insert(lane, run);
+                    assert!(previous.is_none(), "one fetch in a lane");
+                }
+                Action::Stop(lane, version, _) => {
+                    let run = agent.runs.remove(&lane).expect("the fetch runs");
+                    assert_eq!(run.version, version);
+                }
+                Action::Aim(target) => assert!(target.version <= newest.version),
+            }
+        }
+        let needed = agent.selector.needed_versions(newest.version);
+        assert!(needed.len() <= 3, "memory is bounded");
+        agent.own.retain(|version, _| needed.contains(version));
+        self.load(index);
+    }
+
+    fn load(&mut self, index: usize) {
+        let now = self.now;
+        let agent = &mut self.agents[index];
+        match agent.loading {
+            Some((version, at)) if now >= at => {
+                assert!(version > agent.serving, "an engine goes back");
+                agent.serving = version;
+                agent.loading = None;
+                agent.own.retain(|held, _| *held > version);
+            }
+            Some(_) => {}
+            None => {
+                let target = agent.selector.target().map(|target| target.version);
+                let is_complete =
+                    |version: &u64| agent.own.get(version).is_some_and(|c| c.is_complete());
+                agent.loading = target
+                    .filter(|version| *version > agent.serving && is_complete(version))
+                    .map(|version| (version, now + Duration::from_millis(800)));
+            }
+        }
+    }
+
+    fn advance(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now += TICK;
+            for agent in 0..AGENTS {
+                self.advance_agent(agent);
+            }
+        }
+    }
+}
+
+fn disruption() -> impl Strategy<Value = Disruption> {
+    prop_oneof![
+        4 => Just(Disruption::Name),
+        3 => (1_u32..200).prop_map(Disruption::OriginDown),
+        1 => (0..AGENTS).prop_map(Disruption::Kill),
+        1 => (0..AGENTS).prop_map(Disruption::Crash),
+        1 => (0..AGENTS, 1_u32..100).prop_map(|(agent, ticks)| Disruption::Freeze(agent, ticks)),
+        1 => (1_u32..200).prop_map(Disruption::Partition),
+    ]
+}
+
+proptest! {
+    /// Guards against any order of versions and outages after which an agent stays on an old
+    /// version.
+    #[test]
+    fn every_agent_holds_the_newest_version_once_the_origin_is_well(
+        steps in prop::collection::vec((disruption(), 0_u64..3_000), 1..40),
+    ) {
+        let mut fleet = Fleet::new();
+        for (disruption, pause_ms) in steps {
+            fleet.disrupt(disruption);
+            fleet.advance(Duration::from_millis(pause_ms));
+        }
+        fleet.disrupt(Disruption::Name);
+        let frozen = fleet.agents.iter().map(|agent| agent.frozen_until);
+        let well = frozen.chain([fleet.origin_back, fleet.now]).max();
+        fleet.advance(well.expect("not empty") - fleet.now + BOUND);
+        let newest = fleet.newest.expect("a version is named").version;
+        for agent in &fleet.agents {
+            prop_assert_eq!(agent.serving, newest, "{:?}", agent);
+        }
+    }
+}
