A manifest that pieces contradict is obtained again

Cause: a manifest that decodes was believed without a proof, kept and passed on; a piece that did not fit it counted as corrupt, whoever sent it and however often.

Ruled out: pieces spoilt on their way; these differ from one transfer to another.

Change: core::fetch::Doubt: the same bytes from two sources, or twice from the origin, contradict the manifest; one holder alone does not. The fetch ends (reason=contradicted, or stalled after 10 s without a new piece), the manifest is neither used nor passed on, and the next fetch obtains it again and keeps the pieces on which both agree. Other agents are asked for it in random order, so that one with a wrong manifest is not asked each time.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -266,6 +266,9 @@
         if let Some((_, task)) = self.fetches.remove(&lane) {
             task.abort();
         }
+        if end == End::Stalled {
+            lock(&self.shared.pieces).doubt(version);
+        }
     }
 
     /// Makes a version the load target.
--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -5,6 +5,7 @@
         shared::lock,
         slot::{
             gossip,
+            pieces::sha256,
             serve::{self, PieceReply},
             shared::{Shared, WeightSource},
         },
@@ -13,8 +14,8 @@
     jayspread_core::{
         bundle::Piece,
         chunk::{Peer, Plan, Policy, Source, Step},
-        fetch::{End, Supply},
-        id::Host,
+        fetch::{Doubt, End, Supply},
+        id::{ChunkHash, Host},
         spread::{self, Fetch, Holder, Scheduler},
     },
     jayspread_net::{clock, event},
@@ -22,6 +23,7 @@
         Error, engine,
         origin::{self, Manifest},
     },
+    rand::seq::IteratorRandom,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -50,6 +52,19 @@
 /// Status of the origin for a version that it no longer has.
 const GONE: u16 = 410;
 
+/// What came of a request for a piece.
+#[derive(Debug, Clone, Copy)]
+enum Received {
+    /// The piece is in memory now.
+    Stored,
+    /// The source is busy.
+    Busy,
+    /// A piece of this digest, which is not that of the manifest.
+    Corrupt(ChunkHash),
+    /// No piece.
+    Nothing,
+}
+
 /// Fetch of one version.
 struct Job {
     shared: Arc<Shared>,
@@ -84,6 +99,9 @@
             announced_at
         };
     let end = job.fetch_pieces(takeover_start).await;
+    if end == End::Contradicted {
+        lock(&job.shared.pieces).doubt(version);
+    }
     if end != End::Complete {
         return end;
     }
@@ -137,7 +155,7 @@
     }
 }
 
-/// Requests the manifest from the origin on even attempts and from another agent on odd ones.
+/// Requests the manifest from the origin on even attempts and from any other agent on odd ones.
 async fn request_manifest(
     shared: &Shared,
     source: &WeightSource,
@@ -156,7 +174,7 @@
         }
         return Ok(Some(manifest));
     }
-    let Some((address, _)) = agents.values().nth(attempt / 2 % agents.len().max(1)) else {
+    let Some((address, _)) = agents.values().choose(&mut rand::rng()) else {
         return Ok(None);
     };
     let peer = SocketAddr::new(IpAddr::V4(*address), shared.settings.internal_port);
@@ -206,6 +224,7 @@
         let mut planned_at = clock::now();
         let mut asked_at: Option<Instant> = None;
         let mut requests = JoinSet::new();
+        let mut doubt = Doubt::default();
         let count = self.manifest.digests.len();
         loop {
             (0..count)
@@ -214,10 +233,8 @@
             if scheduler.is_complete() {
                 return End::Complete;
             }
-            if lock(&self.shared.pieces)
-                .manifest(self.manifest.version)
-                .is_none()
-            {
+            let current = lock(&self.shared.pieces).manifest(self.manifest.version);
+            if current.is_none_or(|current| !Arc::ptr_eq(&current, &self.manifest)) {
                 return End::Dropped;
             }
             let now = clock::now();
@@ -244,7 +261,20 @@
             }
             tokio::select! {
                 Some(finished) = requests.join_next() => match finished {
-                    Ok(index) => scheduler.finish_fetch(index),
+                    Ok((Fetch { piece, source }, received)) => {
+                        scheduler.finish_fetch(piece);
+                        if let Received::Corrupt(digest) = received
+                            && doubt.record(piece, &source, digest)
+                        {
+                            event!(
+                                Warn,
+                                "manifest_contradicted",
+                                version = self.manifest.version,
+                                index = piece
+                            );
+                            return End::Contradicted;
+                        }
+                    }
                     Err(cause) => {
                         event!(Error, "fetch_task_failed", reason = cause);
                         return End::Dropped;
@@ -278,18 +308,18 @@
         hosts.iter().filter_map(address).collect()
     }
 
-    /// Performs one request and returns the index of its piece.
-    async fn fetch_piece(&self, request: Fetch) -> usize {
-        let reply = match &request.source {
+    /// Performs one request and returns it with what came of it.
+    async fn fetch_piece(&self, request: Fetch) -> (Fetch, Received) {
+        let received = match &request.source {
             Source::Origin => self.fetch_from_origin(request.piece).await,
             Source::Peer(host) => self.fetch_from_peer(host, request.piece).await,
         };
-        match reply {
-            PieceReply::Piece(_) => {}
-            PieceReply::Busy => time::sleep(BUSY_DELAY).await,
-            PieceReply::NotFound => time::sleep(RETRY_DELAY).await,
+        match received {
+            Received::Stored => {}
+            Received::Busy => time::sleep(BUSY_DELAY).await,
+            Received::Corrupt(_) | Received::Nothing => time::sleep(RETRY_DELAY).await,
         }
-        request.piece
+        (request, received)
     }
 
     /// Recovers pieces that are still staged at the engine after it or this agent restarted. Stops
@@ -328,9 +358,9 @@
         pieces.get(self.manifest.version, index).is_some()
     }
 
-    async fn fetch_from_origin(&self, index: usize) -> PieceReply {
+    async fn fetch_from_origin(&self, index: usize) -> Received {
         let Some(origin) = self.source.origin else {
-            return PieceReply::NotFound;
+            return Received::Nothing;
         };
         let mut client = origin::Client::new(origin);
         let (version, bytes) = (self.manifest.version, self.manifest.piece_bytes);
@@ -339,7 +369,7 @@
             Ok(piece) => {
                 lock(&self.supply).confirm();
                 self.shared.metrics.origin_bytes.inc_by(piece.len() as u64);
-                self.store_verified(piece, index, "origin")
+                self.store_verified(&piece, index, "origin")
             }
             Err(cause) => {
                 if matches!(cause, Error::Refused(GONE)) {
@@ -347,15 +377,15 @@
                 }
                 self.shared.metrics.fetch_failed.inc();
                 event!(Debug, "origin_failed", index = index, reason = cause);
-                PieceReply::NotFound
+                Received::Nothing
             }
         }
     }
 
-    async fn fetch_from_peer(&self, host: &str, index: usize) -> PieceReply {
+    async fn fetch_from_peer(&self, host: &str, index: usize) -> Received {
         let agents = self.shared.agents();
         let Some((address, _)) = agents.get(host) else {
-            return PieceReply::NotFound;
+            return Received::Nothing;
         };
         let peer = SocketAddr::new(IpAddr::V4(*address), self.shared.settings.internal_port);
         let (version, bytes) = (self.manifest.version, self.manifest.piece_bytes);
@@ -363,9 +393,10 @@
         match request.await {
             Ok(PieceReply::Piece(piece)) => {
                 self.shared.metrics.peer_bytes.inc_by(piece.len() as u64);
-                self.store_verified(piece, index, host)
+                self.store_verified(&piece, index, host)
             }
-            Ok(reply) => reply,
+            Ok(PieceReply::Busy) => Received::Busy,
+            Ok(PieceReply::NotFound) => Received::Nothing,
             Err(cause) => {
                 self.shared.metrics.fetch_failed.inc();
                 event!(
@@ -375,18 +406,18 @@
                     index = index,
                     reason = cause
                 );
-                PieceReply::NotFound
+                Received::Nothing
             }
         }
     }
 
     /// Stores a received piece if its digest matches.
-    fn store_verified(&self, piece: Bytes, index: usize, from: &str) -> PieceReply {
-        if self.store(index, &piece) {
-            return PieceReply::Piece(piece);
+    fn store_verified(&self, piece: &Bytes, index: usize, from: &str) -> Received {
+        if self.store(index, piece) {
+            return Received::Stored;
         }
         self.shared.metrics.pieces_corrupt.inc();
         event!(Warn, "piece_corrupt", source = from, index = index);
-        PieceReply::NotFound
+        Received::Corrupt(sha256(piece))
     }
 }
--- a/crates/agent/src/slot/pieces.rs
+++ b/crates/agent/src/slot/pieces.rs
@@ -22,6 +22,8 @@
     pieces: Vec<Option<Bytes>>,
     /// The engine serves the version, so its staging area holds the pieces instead of this store.
     released: bool,
+    /// The manifest may be wrong and is to be obtained again.
+    doubted: bool,
 }
 
 impl Entry {
@@ -38,16 +40,38 @@
 }
 
 impl Pieces {
-    /// Adds an empty entry for a version unless there is one.
+    /// Adds an empty entry for a version unless there is one. A manifest that is in doubt is replaced
+    /// by this one; pieces on which both agree are kept.
     pub fn add_version(&mut self, manifest: &Arc<Manifest>) {
         let count = manifest.digests.len();
-        self.versions
+        let entry = self
+            .versions
             .entry(manifest.version)
             .or_insert_with(|| Entry {
                 manifest: Arc::clone(manifest),
                 pieces: vec![None; count],
                 released: false,
+                doubted: false,
             });
+        if !entry.doubted {
+            return;
+        }
+        let digests = &manifest.digests;
+        entry.pieces.resize(count, None);
+        for (index, piece) in entry.pieces.iter_mut().enumerate() {
+            if entry.manifest.digests.get(index) != digests.get(index) {
+                *piece = None;
+            }
+        }
+        entry.manifest = Arc::clone(manifest);
+        entry.doubted = false;
+    }
+
+    /// Marks the manifest of a version as possibly wrong: it is not used or passed on any more.
+    pub fn doubt(&mut self, version: u64) {
+        if let Some(entry) = self.versions.get_mut(&version) {
+            entry.doubted = true;
+        }
     }
 
     /// Drops all versions but these and the one that the engine serves.
@@ -56,10 +80,11 @@
             .retain(|version, entry| entry.released || needed.contains(version));
     }
 
-    /// Manifest of a version, if the version is in the store.
+    /// Manifest of a version, if the version is in the store and its manifest is not in doubt.
     pub fn manifest(&self, version: u64) -> Option<Arc<Manifest>> {
-        self.versions
-            .get(&version)
+        let entry = self.versions.get(&version);
+        entry
+            .filter(|entry| !entry.doubted)
             .map(|entry| Arc::clone(&entry.manifest))
     }
 
@@ -98,7 +123,7 @@
     /// Whether all pieces of a version are in memory.
     pub fn is_complete(&self, version: u64) -> bool {
         let entry = self.versions.get(&version);
-        entry.is_some_and(|entry| entry.pieces.iter().all(Option::is_some))
+        entry.is_some_and(|entry| !entry.doubted && entry.pieces.iter().all(Option::is_some))
     }
 
     /// Frees the pieces of `version` and drops all older versions, once the engine serves `version`
@@ -122,7 +147,7 @@
     pub fn counts(&self) -> impl Iterator<Item = (u64, Count)> {
         let count = |entry: &Entry| Count {
             held: entry.indices().count(),
-            total: entry.pieces.len(),
+            total: if entry.doubted { 0 } else { entry.pieces.len() },
         };
         let versions = self.versions.iter();
         versions.map(move |(version, entry)| (*version, count(entry)))
--- a/crates/core/src/fetch.rs
+++ b/crates/core/src/fetch.rs
@@ -2,12 +2,13 @@
 //!
 //! The newest version is fetched first. The target, which the engine loads next, may be an older one
 //! that came first or whose pieces are easier to get. Every fetch ends: with all pieces, once its
-//! version can't be had any more or isn't needed, or after a time without a new piece. No fetch of an
+//! version can't be had any more or isn't needed, when pieces contradict its manifest, or after a time
+//! without a new piece. No fetch of an
 //! older version keeps the newest from beginning for longer than `PRIORITY_LIMIT` without a new
 //! piece, and a target of which pieces are missing gives way once the newest version is complete.
 
 use {
-    crate::{progress::Tracker, target::Target},
+    crate::{chunk::Source, id::ChunkHash, progress::Tracker, target::Target},
     std::{
         collections::{BTreeMap, BTreeSet},
         fmt,
@@ -86,6 +87,8 @@
     Complete,
     /// The origin no longer has the version, and no agent has the missing pieces.
     Gone,
+    /// Pieces contradict the manifest, which is to be obtained again.
+    Contradicted,
     /// No new piece has come for a time.
     Stalled,
     /// A newer version is fetched, or will be loaded, instead.
@@ -99,6 +102,7 @@
         f.write_str(match self {
             End::Complete => "complete",
             End::Gone => "gone",
+            End::Contradicted => "contradicted",
             End::Stalled => "stalled",
             End::Superseded => "superseded",
             End::Dropped => "dropped",
@@ -141,6 +145,29 @@
     }
 }
 
+/// Pieces that do not fit a manifest.
+///
+/// Bytes that were changed on their way, or at their holder, differ from one transfer to another. The
+/// same bytes from two sources, or twice from the origin, show that the manifest is wrong.
+#[derive(Debug, Clone, Default)]
+pub struct Doubt {
+    /// Digest of the last piece from each source that did not fit, by index and source.
+    received: BTreeMap<usize, BTreeMap<Source, ChunkHash>>,
+}
+
+impl Doubt {
+    /// Records the digest of a piece that does not fit. Returns whether the manifest is
+    /// contradicted.
+    pub fn record(&mut self, index: usize, source: &Source, digest: ChunkHash) -> bool {
+        let received = self.received.entry(index).or_default();
+        let is_contradicted = received.iter().any(|(other, previous)| {
+            *previous == digest && (other != source || *source == Source::Origin)
+        });
+        received.insert(source.clone(), digest);
+        is_contradicted
+    }
+}
+
 /// A running fetch.
 #[derive(Debug, Clone, Copy)]
 struct Run {
--- a/crates/core/tests/fetch.rs
+++ b/crates/core/tests/fetch.rs
@@ -3,13 +3,15 @@
 
 use {
     jayspread_core::{
+        chunk::Source,
         fetch::{
-            Action, Count, End, Lane, PRIORITY_LIMIT, RESTART_DELAY, STALL_LIMIT, Selector, Supply,
-            View,
+            Action, Count, Doubt, End, Lane, PRIORITY_LIMIT, RESTART_DELAY, STALL_LIMIT, Selector,
+            Supply, View,
         },
         target::Target,
     },
     proptest::prelude::*,
+    rstest::rstest,
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -153,17 +155,44 @@
     assert_eq!(fixture.step(2, 0, restart_ms).len(), 1);
 }
 
+/// Guards against a manifest that is believed although the origin keeps sending other pieces, and
+/// against one that is doubted because of a holder whose piece turned bad.
+#[rstest]
+#[case::twice_from_the_origin(&[("", 1), ("", 1)], true)]
+#[case::two_holders(&[("a", 1), ("b", 1)], true)]
+#[case::holder_and_origin(&[("a", 1), ("", 1)], true)]
+#[case::spoilt_twice_on_the_way(&[("", 1), ("", 2), ("a", 3)], false)]
+#[case::one_bad_holder(&[("a", 1), ("a", 1), ("a", 1)], false)]
+fn manifest_is_doubted_when_equal_pieces_contradict_it(
+    #[case] received: &[(&str, u8)],
+    #[case] is_doubted: bool,
+) {
+    let mut doubt = Doubt::default();
+    let source = |host: &str| match host {
+        "" => Source::Origin,
+        host => Source::Peer(host.into()),
+    };
+    let contradicted = received
+        .iter()
+        .map(|(host, digest)| doubt.record(5, &source(host), [*digest; 32]))
+        .fold(false, |_, last| last);
+    assert_eq!(contradicted, is_doubted);
+}
+
 /// A running fetch of the model.
-#[derive(Debug, Default, Clone, Copy)]
+#[derive(Debug, Default, Clone)]
 struct Run {
     version: u64,
     supply: Supply,
+    doubt: Doubt,
 }
 
 #[derive(Debug)]
 struct Agent {
     selector: Selector,
     own: BTreeMap<u64, Count>,
+    /// Manifests by version, and whether a digest, that of the last piece, is wrong.
+    manifests: BTreeMap<u64, bool>,
     runs: BTreeMap<Lane, Run>,
     serving: u64,
     /// Version that the engine loads, and the time at which it serves it.
@@ -177,6 +206,7 @@
         Self {
             selector: Selector::default(),
             own: BTreeMap::new(),
+            manifests: BTreeMap::new(),
             runs: BTreeMap::new(),
             serving,
             loading: None,
@@ -199,6 +229,8 @@
     Freeze(usize, u32),
     /// No agent gives pieces to others for ticks.
     Partition(u32),
+    /// The origin changes a digest in the next manifests.
+    SpoilManifests(usize),
 }
 
 const AGENTS: usize = 3;
@@ -210,6 +242,7 @@
     newest: Option<Target>,
     origin_back: Instant,
     joined_at: Instant,
+    manifests_to_spoil: usize,
 }
 
 impl Fleet {
@@ -221,6 +254,7 @@
             newest: None,
             origin_back: now,
             joined_at: now,
+            manifests_to_spoil: 0,
         }
     }
 
@@ -244,6 +278,7 @@
                 self.agents[agent].frozen_until = now + TICK * ticks;
             }
             Disruption::Partition(ticks) => self.joined_at = now + TICK * ticks,
+            Disruption::SpoilManifests(count) => self.manifests_to_spoil = count,
         }
     }
 
@@ -270,34 +305,68 @@
         (self.now >= self.origin_back).then_some(version + 2 > newest)
     }
 
+    /// Obtains a manifest from the origin or another agent; returns whether there is one.
+    fn obtain_manifest(&mut self, agent: usize, version: u64) -> bool {
+        if self.agents[agent].manifests.contains_key(&version) {
+            return true;
+        }
+        let mut is_wrong = None;
+        if self.origin_has(version) == Some(true) {
+            is_wrong = Some(self.manifests_to_spoil > 0);
+            self.manifests_to_spoil = self.manifests_to_spoil.saturating_sub(1);
+        } else if self.now >= self.joined_at {
+            let mut manifests = self.agents.iter().map(|other| &other.manifests);
+            is_wrong = manifests.find_map(|manifests| manifests.get(&version).copied());
+        }
+        let Some(is_wrong) = is_wrong else {
+            return false;
+        };
+        let agent = &mut self.agents[agent];
+        agent.manifests.insert(version, is_wrong);
+        let empty = Count {
+            held: 0,
+            total: PIECES,
+        };
+        agent.own.entry(version).or_insert(empty);
+        true
+    }
+
     /// Advances a fetch by at most one piece; returns its end.
     fn fetch(&mut self, agent: usize, lane: Lane) -> Option<End> {
-        let mut run = self.agents[agent].runs[&lane];
+        let mut run = self.agents[agent].runs[&lane].clone();
         let version = run.version;
-        let passed_on = self.passed_on(agent, version);
-        let count = self.agents[agent].own.get(&version).copied();
-        let count = count.unwrap_or(Count {
-            held: 0,
-            total: PIECES,
-        });
-        if count.is_complete() {
-            return Some(End::Complete);
-        }
         let origin = self.origin_has(version);
         match origin {
             Some(true) => run.supply.confirm(),
             Some(false) => run.supply.refuse(self.now),
             None => {}
         }
-        let grows = origin == Some(true) || passed_on > count.held;
-        if grows {
-            let held = count.held + 1;
-            self.agents[agent]
-                .own
-                .insert(version, Count { held, ..count });
+        let is_gone = run.supply.is_gone(self.now);
+        self.agents[agent].runs.insert(lane, run.clone());
+        if !self.obtain_manifest(agent, version) {
+            return is_gone.then_some(End::Gone);
+        }
+        let passed_on = self.passed_on(agent, version);
+        let Agent { own, manifests, .. } = &mut self.agents[agent];
+        let count = own.get_mut(&version).expect("counted with the manifest");
+        if count.is_complete() {
+            return Some(End::Complete);
+        }
+        let source = match origin {
+            Some(true) => Source::Origin,
+            _ if passed_on > count.held => Source::Peer("peer".into()),
+            _ => return is_gone.then_some(End::Gone),
+        };
+        if manifests[&version] && count.held == PIECES - 1 {
+            let is_doubted = run.doubt.record(PIECES - 1, &source, [1; 32]);
+            if is_doubted {
+                manifests.remove(&version);
+            }
+            self.agents[agent].runs.insert(lane, run);
+            return is_doubted.then_some(End::Contradicted);
         }
-        self.agents[agent].runs.insert(lane, run);
-        (!grows && run.supply.is_gone(self.now)).then_some(End::Gone)
+        count.held += 1;
+        None
     }
 
     fn advance_agent(&mut self, index: usize) {
@@ -344,9 +413,12 @@
                     let previous = agent.runs.insert(lane, run);
                     assert!(previous.is_none(), "one fetch in a lane");
                 }
-                Action::Stop(lane, version, _) => {
+                Action::Stop(lane, version, end) => {
                     let run = agent.runs.remove(&lane).expect("the fetch runs");
                     assert_eq!(run.version, version);
+                    if end == End::Stalled {
+                        agent.manifests.remove(&version);
+                    }
                 }
                 Action::Aim(target) => assert!(target.version <= newest.version),
             }
@@ -354,6 +426,9 @@
         let needed = agent.selector.needed_versions(newest.version);
         assert!(needed.len() <= 3, "memory is bounded");
         agent.own.retain(|version, _| needed.contains(version));
+        agent
+            .manifests
+            .retain(|version, _| needed.contains(version));
         self.load(index);
     }
 
@@ -366,6 +441,7 @@
                 agent.serving = version;
                 agent.loading = None;
                 agent.own.retain(|held, _| *held > version);
+                agent.manifests.retain(|held, _| *held > version);
             }
             Some(_) => {}
             None => {
@@ -398,6 +474,7 @@
         1 => (0..AGENTS).prop_map(Disruption::Crash),
         1 => (0..AGENTS, 1_u32..100).prop_map(|(agent, ticks)| Disruption::Freeze(agent, ticks)),
         1 => (1_u32..200).prop_map(Disruption::Partition),
+        2 => (1_usize..4).prop_map(Disruption::SpoilManifests),
     ]
 }
 
