A holder whose piece turned bad is left out for a time

What callers saw: an engine whose agent asked a holder with a bad or missing piece got its version late or never, since the agent asked that holder again and again, and never the origin.

Cause: a holder counted as having what it reports, whatever it sent.

Change: spread::Scheduler::reject. A piece that came with other bytes, or that the holder lacks, isn't fetched from it again for 3 s; it comes from other holders, or at once from the origin if there are none. Log event holder_rejected. A busy or silent holder is not rejected.

--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -61,7 +61,9 @@
     Busy,
     /// A piece of this digest, which is not that of the manifest.
     Corrupt(ChunkHash),
-    /// No piece.
+    /// The source does not have the piece.
+    Missing,
+    /// No answer, or a failure.
     Nothing,
 }
 
@@ -263,6 +265,20 @@
                 Some(finished) = requests.join_next() => match finished {
                     Ok((Fetch { piece, source }, received)) => {
                         scheduler.finish_fetch(piece);
+                        if let Source::Peer(host) = &source
+                            && matches!(received, Received::Corrupt(_) | Received::Missing)
+                        {
+                            event!(
+                                Info,
+                                "holder_rejected",
+                                peer = host,
+                                index = piece,
+                                missing = matches!(received, Received::Missing)
+                            );
+                            let now = clock::now();
+                            let elapsed = now.saturating_duration_since(takeover_start);
+                            scheduler.reject(piece, host, elapsed);
+                        }
                         if let Received::Corrupt(digest) = received
                             && doubt.record(piece, &source, digest)
                         {
@@ -317,7 +333,9 @@
         match received {
             Received::Stored => {}
             Received::Busy => time::sleep(BUSY_DELAY).await,
-            Received::Corrupt(_) | Received::Nothing => time::sleep(RETRY_DELAY).await,
+            Received::Corrupt(_) | Received::Missing | Received::Nothing => {
+                time::sleep(RETRY_DELAY).await
+            }
         }
         (request, received)
     }
@@ -396,7 +414,7 @@
                 self.store_verified(&piece, index, host)
             }
             Ok(PieceReply::Busy) => Received::Busy,
-            Ok(PieceReply::NotFound) => Received::Nothing,
+            Ok(PieceReply::NotFound) => Received::Missing,
             Err(cause) => {
                 self.shared.metrics.fetch_failed.inc();
                 event!(
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -35,6 +35,9 @@
 /// take over at the same time.
 const MAX_STAGGER: Duration = Duration::from_millis(1_500);
 
+/// Time for which a piece is not fetched again from a holder that lacks it, or sent other bytes.
+pub const REJECTION_TIME: Duration = Duration::from_millis(3_000);
+
 /// Maximum number of reports that one host sends to a group of hosts per second, summed over the
 /// receivers. At this rate, reports of 200 bytes use about a thirtieth of a link of 9.4 Mbit/s.
 const MAX_REPORTS_PER_SECOND: f64 = 200.0;
@@ -118,6 +121,9 @@
     tiers: Vec<Tier>,
     held_pieces: BTreeSet<usize>,
     in_progress: BTreeMap<usize, Source>,
+    /// Holders that don't have what they report, by piece, and the elapsed time until which they are
+    /// left out.
+    rejected: BTreeMap<(usize, Host), Duration>,
     /// Share of `MAX_STAGGER` that this host adds to the takeover delays, from 0 to 1.
     stagger: f64,
 }
@@ -136,6 +142,7 @@
             tiers: steps.iter().map(|step| step.tier).collect(),
             held_pieces: BTreeSet::new(),
             in_progress: BTreeMap::new(),
+            rejected: BTreeMap::new(),
             stagger,
         }
     }
@@ -165,6 +172,14 @@
         self.in_progress.remove(&piece);
     }
 
+    /// Records that a holder lacks a piece or sent other bytes, `elapsed` after the version was
+    /// announced. The piece comes from other holders for a time, or from the origin if there are
+    /// none.
+    pub fn reject(&mut self, piece: usize, host: &Host, elapsed: Duration) {
+        let until = elapsed + REJECTION_TIME;
+        self.rejected.insert((piece, host.clone()), until);
+    }
+
     /// Chooses the next download and records it as in progress; `None` if there is none to start.
     /// `elapsed` is the time since the version was announced.
     pub fn next_fetch(
@@ -176,6 +191,14 @@
         if self.in_progress.len() >= MAX_DOWNLOADS {
             return None;
         }
+        self.rejected.retain(|_, until| elapsed < *until);
+        let accepted;
+        let holders = if self.rejected.is_empty() {
+            holders
+        } else {
+            accepted = self.without_rejected(holders);
+            &accepted
+        };
         let fetch = self
             .select_from_origin(holders)
             .or_else(|| self.select_remote(holders, Duration::ZERO, rng))
@@ -200,6 +223,21 @@
         })
     }
 
+    /// Holders without the pieces that they turned out not to have.
+    fn without_rejected(&self, holders: &BTreeMap<Host, Holder>) -> BTreeMap<Host, Holder> {
+        let mut accepted = holders.clone();
+        for (piece, host) in self.rejected.keys() {
+            if let Some(holder) = accepted.get_mut(host) {
+                holder.pieces.remove(piece);
+            }
+        }
+        accepted
+    }
+
+    fn is_rejected(&self, piece: usize) -> bool {
+        self.rejected.keys().any(|(rejected, _)| *rejected == piece)
+    }
+
     fn same_data_centre(&self, holder: &Holder) -> bool {
         *holder.data_centre == *self.data_centre
     }
@@ -294,8 +332,8 @@
         choose(&candidates, rng)
     }
 
-    /// Selects a piece that its leader did not fetch in time: from any holder, or after a longer
-    /// delay from the origin if no host holds it.
+    /// Selects a piece that its leader did not fetch in time: from any holder, or from the origin if
+    /// no host holds it, after a longer delay or at once if a holder was rejected.
     fn select_overdue(
         &self,
         holders: &BTreeMap<Host, Holder>,
@@ -306,13 +344,14 @@
             return Some(fetch);
         }
         let takeover_due = elapsed >= ORIGIN_TAKEOVER_DELAY + MAX_STAGGER.mul_f64(self.stagger);
-        if !takeover_due || !self.can_use_origin() {
+        if !self.can_use_origin() {
             return None;
         }
         let held_nowhere = |piece: &usize| {
-            holders
-                .values()
-                .all(|holder| !holder.pieces.contains(piece))
+            (takeover_due || self.is_rejected(*piece))
+                && holders
+                    .values()
+                    .all(|holder| !holder.pieces.contains(piece))
         };
         let unheld: Vec<usize> = self.missing().filter(held_nowhere).collect();
         if unheld.is_empty() {
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -7,7 +7,7 @@
     jayspread_core::{
         chunk::{Peer, Source, Step, Tier},
         id::{Host, Region},
-        spread::{self, Holder, MAX_DOWNLOADS, Scheduler, report_sources},
+        spread::{self, Holder, MAX_DOWNLOADS, REJECTION_TIME, Scheduler, report_sources},
     },
     proptest::prelude::*,
     rand::{SeedableRng, rngs::StdRng},
@@ -325,3 +325,49 @@
     let member = report_sources("side-000", "r0", &regions.collect(), &[step], false);
     assert!(!member.contains("side-001"));
 }
+
+/// Guards against a host that asks a holder whose piece turned bad again and again, and never the
+/// origin.
+#[test]
+fn piece_of_a_rejected_holder_comes_from_another_source() {
+    let set = peers(3);
+    let all: Vec<&Peer> = set.iter().collect();
+    let mut plan = steps(all[0], &set);
+    plan.iter_mut().for_each(|step| step.tier = Tier::Member);
+    let (own_data_centre, own_region) = (&all[0].data_centre, &all[0].region);
+    let mut scheduler = Scheduler::new(own_data_centre, own_region, &plan, 0.0);
+    let piece = 5;
+    let holder = Holder {
+        data_centre: own_data_centre.clone(),
+        region: own_region.clone(),
+        pieces: BTreeSet::from([piece]),
+    };
+    let mut holders: BTreeMap<Host, Holder> = all[1..]
+        .iter()
+        .map(|peer| (peer.host.clone(), holder.clone()))
+        .collect();
+    let mut rng = StdRng::seed_from_u64(1);
+    let elapsed = Duration::from_millis(500);
+    let mut next = |scheduler: &mut Scheduler, holders: &_, elapsed| {
+        let fetch = scheduler.next_fetch(holders, elapsed, &mut rng);
+        let source = fetch.map(|fetch| fetch.source);
+        scheduler.finish_fetch(piece);
+        source
+    };
+    scheduler.reject(piece, &all[1].host, elapsed);
+    let from_other = Some(Source::Peer(all[2].host.clone()));
+    assert_eq!(next(&mut scheduler, &holders, elapsed), from_other);
+    scheduler.reject(piece, &all[2].host, elapsed);
+    assert_eq!(
+        next(&mut scheduler, &holders, elapsed),
+        Some(Source::Origin),
+        "at once, not when the leader is late"
+    );
+    holders.remove(&all[1].host);
+    let later = elapsed + REJECTION_TIME;
+    assert_eq!(
+        next(&mut scheduler, &holders, later),
+        from_other,
+        "a holder may have the piece again"
+    );
+}
