A fetch follows an origin that moves

What callers saw: a version whose origin moved to another address during its fetch came late or never.

Cause: a fetch kept the address that the origin had when it began.

Change: each request to the origin, and each plan, uses the source that entry hosts state now; a fetch of a model that the agent no longer serves ends (dropped).

--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -185,6 +185,12 @@
 }
 
 impl Job {
+    /// Where the weights are now; `None` if the agent serves another model by now.
+    fn current_source(&self) -> Option<WeightSource> {
+        let source = self.shared.weight_source();
+        source.filter(|source| source.model == self.source.model)
+    }
+
     /// Chunk plan over all known agents, with one step for each piece.
     fn plan(&self) -> Vec<Step> {
         let settings = &self.shared.settings;
@@ -207,7 +213,9 @@
                 hash: self.manifest.digests[index],
             })
             .collect();
-        let origin = settings.region(&self.source.data_centre);
+        let source = self.current_source();
+        let source = source.as_ref().unwrap_or(&self.source);
+        let origin = settings.region(&source.data_centre);
         let steps = Plan::new(Policy::OriginRegionOnly, &local, &peers, &pieces, origin).steps;
         // The plan lists each digest once; pieces with equal content share a step.
         let by_digest: BTreeMap<_, &Step> = steps.iter().map(|step| (step.hash, step)).collect();
@@ -236,7 +244,9 @@
                 return End::Complete;
             }
             let current = lock(&self.shared.pieces).manifest(self.manifest.version);
-            if current.is_none_or(|current| !Arc::ptr_eq(&current, &self.manifest)) {
+            if current.is_none_or(|current| !Arc::ptr_eq(&current, &self.manifest))
+                || self.current_source().is_none()
+            {
                 return End::Dropped;
             }
             let now = clock::now();
@@ -377,7 +387,7 @@
     }
 
     async fn fetch_from_origin(&self, index: usize) -> Received {
-        let Some(origin) = self.source.origin else {
+        let Some(origin) = self.current_source().and_then(|source| source.origin) else {
             return Received::Nothing;
         };
         let mut client = origin::Client::new(origin);
