A load order follows a recent check of the staged pieces

Cause: the check had no age.

Change: a check that began 2 s ago or earlier is done again, up to three times, before the order (load::is_check_recent; log event check_outdated).

What remains is a pause between this last look at the clock and the sending.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -36,6 +36,9 @@
 const PLAN_NOTICE: Duration = Duration::from_millis(2_500);
 /// Consecutive failed reads after which the engine counts as unresponsive.
 const MAX_READ_FAILURES: u32 = 2;
+/// Checks of the staged pieces for one load order, each but the last outdated by a pause.
+const MAX_CHECKS: u32 = 3;
+
 /// Control loop of one agent.
 pub struct Controller {
     shared: Arc<Shared>,
@@ -347,6 +350,28 @@
         staged.is_ok()
     }
 
+    /// Verifies the staged pieces, again if this process stood still meanwhile.
+    async fn verify_recently(&mut self, version: u64) -> bool {
+        for _ in 0..MAX_CHECKS {
+            let started_at = clock::now();
+            if !self.verify(version).await {
+                return false;
+            }
+            let now = clock::now();
+            if load::is_check_recent(started_at, now) {
+                return true;
+            }
+            let took = now.saturating_duration_since(started_at);
+            event!(
+                Warn,
+                "check_outdated",
+                version = version,
+                took_ms = took.as_millis()
+            );
+        }
+        false
+    }
+
     /// Reads all staged pieces back and replaces missing or corrupt ones.
     async fn verify(&mut self, version: u64) -> bool {
         let (Some(source), Some(manifest)) = (
@@ -439,7 +464,7 @@
         let Some(source) = self.shared.weight_source() else {
             return Event::OrderFailed;
         };
-        if !self.verify(version).await {
+        if !self.verify_recently(version).await {
             self.staged_version = None;
             return Event::OrderFailed;
         }
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -21,6 +21,15 @@
 /// Minimum time between two orders.
 const MIN_ORDER_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest time from the start of the check of the staged pieces until the load order: pieces may turn
+/// bad at the engine at any time.
+const MAX_CHECK_AGE: Duration = Duration::from_secs(2);
+
+/// Whether a check of the staged pieces that began at `started_at` still allows for an order.
+pub fn is_check_recent(started_at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(started_at) < MAX_CHECK_AGE
+}
+
 /// A version that the engine should serve.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
