--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -5,6 +5,7 @@
         shared::lock,
         slot::{
             gossip,
+            pieces::sha256,
             serve::{self, PieceReply},
             shared::{Shared, WeightSource},
         },
@@ -13,18 +14,20 @@
     jayspread_core::{
         bundle::Piece,
         chunk::{Peer, Plan, Policy, Source, Step},
-        id::Host,
-        spread::{self, Fetch, Scheduler},
+        fetch::{Doubt, End, Supply},
+        id::{ChunkHash, Host},
+        spread::{self, Fetch, Holder, Scheduler},
     },
     jayspread_net::{clock, event},
     jayspread_platform::{
-        engine,
+        Error, engine,
         origin::{self, Manifest},
     },
+    rand::seq::IteratorRandom,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::{IpAddr, Ipv4Addr, SocketAddr},
-        sync::Arc,
+        sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
     tokio::{task::JoinSet, time},
@@ -46,23 +49,47 @@
 /// Time after the announcement of a version from which agents of all regions are asked.
 const REMOTE_INTEREST_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Status of the origin for a version that it no longer has.
+const GONE: u16 = 410;
+
+/// What came of a request for a piece.
+#[derive(Debug, Clone, Copy)]
+enum Received {
+    /// The piece is in memory now.
+    Stored,
+    /// The source is busy.
+    Busy,
+    /// A piece of this digest, which is not that of the manifest.
+    Corrupt(ChunkHash),
+    /// The source does not have the piece.
+    Missing,
+    /// No answer, or a failure.
+    Nothing,
+}
+
 /// Fetch of one version.
 struct Job {
     shared: Arc<Shared>,
     source: WeightSource,
     manifest: Arc<Manifest>,
+    /// Whether the origin still has the version.
+    supply: Mutex<Supply>,
 }
 
-/// Fetches all pieces of a version into memory and returns when they are complete. `announced_at`
-/// is the time at which the version was announced.
-pub async fn run(shared: Arc<Shared>, version: u64, announced_at: Instant) {
+/// Fetches pieces of a version into memory until all are held or can't be had. `announced_at` is the
+/// time at which the version was announced.
+pub async fn run(shared: Arc<Shared>, version: u64, announced_at: Instant) -> End {
     let started_at = clock::now();
-    let (source, manifest) = obtain_manifest(&shared, version).await;
+    let mut supply = Supply::default();
+    let Some((source, manifest)) = obtain_manifest(&shared, version, &mut supply).await else {
+        return End::Gone;
+    };
     lock(&shared.pieces).add_version(&manifest);
     let job = Arc::new(Job {
         shared,
         source,
         manifest,
+        supply: Mutex::new(supply),
     });
     job.recover_staged().await;
     // An agent that joins long after the announcement counts from its own start, which leaves it time
@@ -73,7 +100,13 @@
         } else {
             announced_at
         };
-    job.fetch_pieces(takeover_start).await;
+    let end = job.fetch_pieces(takeover_start).await;
+    if end == End::Contradicted {
+        lock(&job.shared.pieces).doubt(version);
+    }
+    if end != End::Complete {
+        return end;
+    }
     event!(
         Info,
         "pieces_complete",
@@ -84,23 +117,35 @@
         from_origin = job.shared.metrics.origin_bytes.get(),
         from_peers = job.shared.metrics.peer_bytes.get()
     );
+    End::Complete
 }
 
-/// Obtains the manifest from memory, the origin or another agent, retrying until it succeeds.
-async fn obtain_manifest(shared: &Shared, version: u64) -> (WeightSource, Arc<Manifest>) {
+/// Obtains the manifest from memory, the origin or another agent, retrying until it succeeds or the
+/// version is gone.
+async fn obtain_manifest(
+    shared: &Shared,
+    version: u64,
+    supply: &mut Supply,
+) -> Option<(WeightSource, Arc<Manifest>)> {
     let mut attempt = 0;
     loop {
+        if supply.is_gone(clock::now()) {
+            return None;
+        }
         let Some(source) = shared.weight_source() else {
             time::sleep(RETRY_DELAY).await;
             continue;
         };
         if let Some(manifest) = lock(&shared.pieces).manifest(version) {
-            return (source, manifest);
+            return Some((source, manifest));
         }
         match request_manifest(shared, &source, version, attempt).await {
-            Ok(Some(manifest)) => return (source, Arc::new(manifest)),
+            Ok(Some(manifest)) => return Some((source, Arc::new(manifest))),
             Ok(None) => {}
             Err(cause) => {
+                if matches!(cause, Error::Refused(GONE)) {
+                    supply.refuse(clock::now());
+                }
                 if attempt == 0 {
                     event!(Warn, "manifest_failed", version = version, reason = cause);
                 }
@@ -112,37 +157,40 @@
     }
 }
 
-/// Requests the manifest from the origin on even attempts and from another agent on odd ones.
+/// Requests the manifest from the origin on even attempts and from any other agent on odd ones.
 async fn request_manifest(
     shared: &Shared,
     source: &WeightSource,
     version: u64,
     attempt: usize,
-) -> Result<Option<Manifest>, Box<str>> {
+) -> Result<Option<Manifest>, Error> {
     let agents = shared.agents();
     if let Some(origin) = source.origin
         && (attempt.is_multiple_of(2) || agents.is_empty())
     {
         let mut client = origin::Client::new(origin);
-        let manifest = client.manifest(&source.model, version).await;
-        let manifest = manifest.map_err(|cause| cause.to_string())?;
+        let manifest = client.manifest(&source.model, version).await?;
         if manifest.version != version {
-            return Err(format!(
-                "origin returned the manifest of version {}",
-                manifest.version
-            )
-            .into());
+            let reason = format!("manifest of version {}", manifest.version);
+            return Err(Error::Malformed(reason.into()));
         }
         return Ok(Some(manifest));
     }
-    let Some((address, _)) = agents.values().nth(attempt / 2 % agents.len().max(1)) else {
+    let Some((address, _)) = agents.values().choose(&mut rand::rng()) else {
         return Ok(None);
     };
     let peer = SocketAddr::new(IpAddr::V4(*address), shared.settings.internal_port);
-    serve::fetch_manifest(peer, version).await
+    let manifest = serve::fetch_manifest(peer, version).await;
+    manifest.map_err(Error::Malformed)
 }
 
 impl Job {
+    /// Where the weights are now; `None` if the agent serves another model by now.
+    fn current_source(&self) -> Option<WeightSource> {
+        let source = self.shared.weight_source();
+        source.filter(|source| source.model == self.source.model)
+    }
+
     /// Chunk plan over all known agents, with one step for each piece.
     fn plan(&self) -> Vec<Step> {
         let settings = &self.shared.settings;
@@ -165,7 +213,9 @@
                 hash: self.manifest.digests[index],
             })
             .collect();
-        let origin = settings.region(&self.source.data_centre);
+        let source = self.current_source();
+        let source = source.as_ref().unwrap_or(&self.source);
+        let origin = settings.region(&source.data_centre);
         let steps = Plan::new(Policy::OriginRegionOnly, &local, &peers, &pieces, origin).steps;
         // The plan lists each digest once; pieces with equal content share a step.
         let by_digest: BTreeMap<_, &Step> = steps.iter().map(|step| (step.hash, step)).collect();
@@ -173,9 +223,9 @@
         digests.map(|digest| by_digest[digest].clone()).collect()
     }
 
-    /// Requests pieces until all are held. The delays before a piece is fetched in place of its
+    /// Requests pieces until the fetch ends. The delays before a piece is fetched in place of its
     /// leader count from `takeover_start`.
-    async fn fetch_pieces(self: &Arc<Self>, takeover_start: Instant) {
+    async fn fetch_pieces(self: &Arc<Self>, takeover_start: Instant) -> End {
         let settings = &self.shared.settings;
         let stagger = rand::random();
         let region = settings.region(&settings.data_centre);
@@ -184,13 +234,20 @@
         let mut planned_at = clock::now();
         let mut asked_at: Option<Instant> = None;
         let mut requests = JoinSet::new();
+        let mut doubt = Doubt::default();
         let count = self.manifest.digests.len();
         loop {
             (0..count)
                 .filter(|index| self.is_held(*index))
                 .for_each(|index| scheduler.mark_held(index));
             if scheduler.is_complete() {
-                return;
+                return End::Complete;
+            }
+            let current = lock(&self.shared.pieces).manifest(self.manifest.version);
+            if current.is_none_or(|current| !Arc::ptr_eq(&current, &self.manifest))
+                || self.current_source().is_none()
+            {
+                return End::Dropped;
             }
             let now = clock::now();
             if now.saturating_duration_since(planned_at) >= REPLAN_INTERVAL {
@@ -206,6 +263,9 @@
                 asked_at = Some(now);
             }
             let holders = self.shared.holders(self.manifest.version, count);
+            if lock(&self.supply).is_gone(now) && self.is_missing_everywhere(&holders) {
+                return End::Gone;
+            }
             let elapsed = now.saturating_duration_since(takeover_start);
             while let Some(request) = scheduler.next_fetch(&holders, elapsed, &mut rand::rng()) {
                 let job = Arc::clone(self);
@@ -213,10 +273,37 @@
             }
             tokio::select! {
                 Some(finished) = requests.join_next() => match finished {
-                    Ok(index) => scheduler.finish_fetch(index),
+                    Ok((Fetch { piece, source }, received)) => {
+                        scheduler.finish_fetch(piece);
+                        if let Source::Peer(host) = &source
+                            && matches!(received, Received::Corrupt(_) | Received::Missing)
+                        {
+                            event!(
+                                Info,
+                                "holder_rejected",
+                                peer = host,
+                                index = piece,
+                                missing = matches!(received, Received::Missing)
+                            );
+                            let now = clock::now();
+                            let elapsed = now.saturating_duration_since(takeover_start);
+                            scheduler.reject(piece, host, elapsed);
+                        }
+                        if let Received::Corrupt(digest) = received
+                            && doubt.record(piece, &source, digest)
+                        {
+                            event!(
+                                Warn,
+                                "manifest_contradicted",
+                                version = self.manifest.version,
+                                index = piece
+                            );
+                            return End::Contradicted;
+                        }
+                    }
                     Err(cause) => {
                         event!(Error, "fetch_task_failed", reason = cause);
-                        return;
+                        return End::Dropped;
                     }
                 },
                 () = self.shared.holders_changed.notified() => {}
@@ -225,6 +312,14 @@
         }
     }
 
+    /// Whether there is a piece that neither this agent nor another one holds.
+    fn is_missing_everywhere(&self, holders: &BTreeMap<Host, Holder>) -> bool {
+        let is_held_elsewhere =
+            |index: &usize| holders.values().any(|holder| holder.pieces.contains(index));
+        (0..self.manifest.digests.len())
+            .any(|index| !self.is_held(index) && !is_held_elsewhere(&index))
+    }
+
     /// Addresses of the agents that are asked for reports on their pieces.
     fn sources(&self, plan: &[Step], overdue: bool) -> BTreeSet<Ipv4Addr> {
         let settings = &self.shared.settings;
@@ -239,18 +334,20 @@
         hosts.iter().filter_map(address).collect()
     }
 
-    /// Performs one request and returns the index of its piece.
-    async fn fetch_piece(&self, request: Fetch) -> usize {
-        let reply = match &request.source {
+    /// Performs one request and returns it with what came of it.
+    async fn fetch_piece(&self, request: Fetch) -> (Fetch, Received) {
+        let received = match &request.source {
             Source::Origin => self.fetch_from_origin(request.piece).await,
             Source::Peer(host) => self.fetch_from_peer(host, request.piece).await,
         };
-        match reply {
-            PieceReply::Piece(_) => {}
-            PieceReply::Busy => time::sleep(BUSY_DELAY).await,
-            PieceReply::NotFound => time::sleep(RETRY_DELAY).await,
+        match received {
+            Received::Stored => {}
+            Received::Busy => time::sleep(BUSY_DELAY).await,
+            Received::Corrupt(_) | Received::Missing | Received::Nothing => {
+                time::sleep(RETRY_DELAY).await
+            }
         }
-        request.piece
+        (request, received)
     }
 
     /// Recovers pieces that are still staged at the engine after it or this agent restarted. Stops
@@ -289,30 +386,34 @@
         pieces.get(self.manifest.version, index).is_some()
     }
 
-    async fn fetch_from_origin(&self, index: usize) -> PieceReply {
-        let Some(origin) = self.source.origin else {
-            return PieceReply::NotFound;
+    async fn fetch_from_origin(&self, index: usize) -> Received {
+        let Some(origin) = self.current_source().and_then(|source| source.origin) else {
+            return Received::Nothing;
         };
         let mut client = origin::Client::new(origin);
         let (version, bytes) = (self.manifest.version, self.manifest.piece_bytes);
         let request = client.piece(&self.source.model, version, index, bytes, TRANSFER_TIMEOUT);
         match request.await {
             Ok(piece) => {
+                lock(&self.supply).confirm();
                 self.shared.metrics.origin_bytes.inc_by(piece.len() as u64);
-                self.store_verified(piece, index, "origin")
+                self.store_verified(&piece, index, "origin")
             }
             Err(cause) => {
+                if matches!(cause, Error::Refused(GONE)) {
+                    lock(&self.supply).refuse(clock::now());
+                }
                 self.shared.metrics.fetch_failed.inc();
                 event!(Debug, "origin_failed", index = index, reason = cause);
-                PieceReply::NotFound
+                Received::Nothing
             }
         }
     }
 
-    async fn fetch_from_peer(&self, host: &str, index: usize) -> PieceReply {
+    async fn fetch_from_peer(&self, host: &str, index: usize) -> Received {
         let agents = self.shared.agents();
         let Some((address, _)) = agents.get(host) else {
-            return PieceReply::NotFound;
+            return Received::Nothing;
         };
         let peer = SocketAddr::new(IpAddr::V4(*address), self.shared.settings.internal_port);
         let (version, bytes) = (self.manifest.version, self.manifest.piece_bytes);
@@ -320,9 +421,10 @@
         match request.await {
             Ok(PieceReply::Piece(piece)) => {
                 self.shared.metrics.peer_bytes.inc_by(piece.len() as u64);
-                self.store_verified(piece, index, host)
+                self.store_verified(&piece, index, host)
             }
-            Ok(reply) => reply,
+            Ok(PieceReply::Busy) => Received::Busy,
+            Ok(PieceReply::NotFound) => Received::Missing,
             Err(cause) => {
                 self.shared.metrics.fetch_failed.inc();
                 event!(
@@ -332,18 +434,18 @@
                     index = index,
                     reason = cause
                 );
-                PieceReply::NotFound
+                Received::Nothing
             }
         }
     }
 
     /// Stores a received piece if its digest matches.
-    fn store_verified(&self, piece: Bytes, index: usize, from: &str) -> PieceReply {
-        if self.store(index, &piece) {
-            return PieceReply::Piece(piece);
+    fn store_verified(&self, piece: &Bytes, index: usize, from: &str) -> Received {
+        if self.store(index, piece) {
+            return Received::Stored;
         }
         self.shared.metrics.pieces_corrupt.inc();
         event!(Warn, "piece_corrupt", source = from, index = index);
-        PieceReply::NotFound
+        Received::Corrupt(sha256(piece))
     }
 }
--- a/crates/agent/src/slot/pieces.rs
+++ b/crates/agent/src/slot/pieces.rs
@@ -2,15 +2,15 @@
 
 use {
     bytes::Bytes,
-    jayspread_core::id::ChunkHash,
+    jayspread_core::{fetch::Count, id::ChunkHash},
     jayspread_platform::origin::Manifest,
     sha2::{Digest, Sha256},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
-/// Two versions: the one to load next and a newer one that is fetched at the same time.
-const MAX_VERSIONS: usize = 2;
-
 /// SHA-256 digest of a piece, as listed in manifests.
 pub fn sha256(bytes: &[u8]) -> ChunkHash {
     Sha256::digest(bytes).into()
@@ -22,6 +22,8 @@
     pieces: Vec<Option<Bytes>>,
     /// The engine serves the version, so its staging area holds the pieces instead of this store.
     released: bool,
+    /// The manifest may be wrong and is to be obtained again.
+    doubted: bool,
 }
 
 impl Entry {
@@ -38,25 +40,51 @@
 }
 
 impl Pieces {
-    /// Adds an empty entry for a version and drops the oldest versions over the limit.
+    /// Adds an empty entry for a version unless there is one. A manifest that is in doubt is replaced
+    /// by this one; pieces on which both agree are kept.
     pub fn add_version(&mut self, manifest: &Arc<Manifest>) {
         let count = manifest.digests.len();
-        self.versions
+        let entry = self
+            .versions
             .entry(manifest.version)
             .or_insert_with(|| Entry {
                 manifest: Arc::clone(manifest),
                 pieces: vec![None; count],
                 released: false,
+                doubted: false,
             });
-        while self.versions.len() > MAX_VERSIONS {
-            self.versions.pop_first();
+        if !entry.doubted {
+            return;
         }
+        let digests = &manifest.digests;
+        entry.pieces.resize(count, None);
+        for (index, piece) in entry.pieces.iter_mut().enumerate() {
+            if entry.manifest.digests.get(index) != digests.get(index) {
+                *piece = None;
+            }
+        }
+        entry.manifest = Arc::clone(manifest);
+        entry.doubted = false;
     }
 
-    /// Manifest of a version, if the version is in the store.
-    pub fn manifest(&self, version: u64) -> Option<Arc<Manifest>> {
+    /// Marks the manifest of a version as possibly wrong: it is not used or passed on any more.
+    pub fn doubt(&mut self, version: u64) {
+        if let Some(entry) = self.versions.get_mut(&version) {
+            entry.doubted = true;
+        }
+    }
+
+    /// Drops all versions but these and the one that the engine serves.
+    pub fn retain(&mut self, needed: &BTreeSet<u64>) {
         self.versions
-            .get(&version)
+            .retain(|version, entry| entry.released || needed.contains(version));
+    }
+
+    /// Manifest of a version, if the version is in the store and its manifest is not in doubt.
+    pub fn manifest(&self, version: u64) -> Option<Arc<Manifest>> {
+        let entry = self.versions.get(&version);
+        entry
+            .filter(|entry| !entry.doubted)
             .map(|entry| Arc::clone(&entry.manifest))
     }
 
@@ -92,18 +120,10 @@
         entry.map_or_else(Vec::new, |entry| entry.indices().collect())
     }
 
-    /// Fraction of a version's pieces that is in memory, from 0 to 1.
-    pub fn fraction_held(&self, version: u64) -> f64 {
-        let Some(entry) = self.versions.get(&version) else {
-            return 0.0;
-        };
-        entry.indices().count() as f64 / entry.pieces.len().max(1) as f64
-    }
-
     /// Whether all pieces of a version are in memory.
     pub fn is_complete(&self, version: u64) -> bool {
         let entry = self.versions.get(&version);
-        entry.is_some_and(|entry| entry.pieces.iter().all(Option::is_some))
+        entry.is_some_and(|entry| !entry.doubted && entry.pieces.iter().all(Option::is_some))
     }
 
     /// Frees the pieces of `version` and drops all older versions, once the engine serves `version`
@@ -123,9 +143,13 @@
         }
     }
 
-    /// Versions with the number of their pieces in memory.
-    pub fn counts(&self) -> impl Iterator<Item = (u64, usize)> {
+    /// Versions with the numbers of their pieces in memory.
+    pub fn counts(&self) -> impl Iterator<Item = (u64, Count)> {
+        let count = |entry: &Entry| Count {
+            held: entry.indices().count(),
+            total: if entry.doubted { 0 } else { entry.pieces.len() },
+        };
         let versions = self.versions.iter();
-        versions.map(|(version, entry)| (*version, entry.indices().count()))
+        versions.map(move |(version, entry)| (*version, count(entry)))
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod delay;
 pub mod engine;
 pub mod fair;
+pub mod fetch;
 pub mod id;
 pub mod load;
 pub mod member;
