Entry hosts tell each other which process of an engine leaves, not which id

Cause: heartbeats named leaving engines by id alone. A host with an old view marked the process that has the id now, every host that had the mark passed it on, and a host that had dropped it got it back from the others.

Ruled out: a lifetime of the mark. Hosts that stand still longer than any bound tell it all the same, and a process that goes on leaving would be forgotten.

A process without the new field tells and learns no marks; it still learns of leaving engines from their answers, their agents and the list.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -10,7 +10,7 @@
         catalog::Speed,
         clamp,
         delay::{Delay, Sent},
-        id::{self, DataCentre, Engine as Id, Region, Service},
+        id::{self, DataCentre, Engine as Id, Region, Service, Started},
         outlier::Detector,
         window::Window,
     },
@@ -70,8 +70,8 @@
     pub draining: bool,
     /// Time for which it remains cold.
     pub cold_remaining: Duration,
-    /// Start of the instance, Unix milliseconds, if known.
-    pub started_ms: Option<u64>,
+    /// Start of the process.
+    pub started_ms: Started,
     /// Weights that it holds, if any.
     pub loaded: Option<Weights>,
 }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -12,6 +12,10 @@
 pub type Service = Box<str>;
 /// Id of an engine instance, as the platform lists it. An engine is a backend server process.
 pub type Engine = Box<str>;
+/// Start of an engine process, Unix milliseconds on the clock of its host; `None` if the platform does
+/// not state it. Tells apart the processes that run under one id, and says nothing of their order:
+/// the clock may have been set back.
+pub type Started = Option<u64>;
 /// Name of a bundle's version.
 pub type Version = Box<str>;
 /// Number of an accepted configuration; increases with every change.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -11,7 +11,7 @@
     crate::{
         catalog::{Backend, Route},
         engine::{Engine, Listing, Load, Place, Report},
-        id::{DataCentre, Engine as Id, Region, Service},
+        id::{DataCentre, Engine as Id, Region, Service, Started},
         outlier::Outcome,
         target::Bound,
     },
@@ -213,19 +213,21 @@
         entry.is_some_and(|entry| entry.engine.set_leaving())
     }
 
-    /// Records that an instance is leaving, as another host was told; returns true if that is news.
-    pub fn set_leaving_by_id(&mut self, id: &str) -> bool {
+    /// Records that the process of an engine that started at `started_ms` is leaving, as another host
+    /// was told; returns true if that is news. Another process under the same id is not concerned.
+    pub fn set_instance_leaving(&mut self, id: &str, started_ms: Started) -> bool {
         let entry = self.entries.get_mut(id);
+        let entry = entry.filter(|entry| entry.engine.listing.started_ms == started_ms);
         entry.is_some_and(|entry| entry.engine.set_leaving())
     }
 
-    /// Instances that have said that they are leaving.
-    pub fn announced_leaving(&self) -> impl Iterator<Item = &Id> {
+    /// Engines that have said that they are leaving, and the start of their processes.
+    pub fn announced_leaving(&self) -> impl Iterator<Item = (&Id, Started)> {
         let announced = self
             .entries
             .iter()
             .filter(|(_, entry)| entry.engine.has_announced_leaving());
-        announced.map(|(id, _)| id)
+        announced.map(|(id, entry)| (id, entry.engine.listing.started_ms))
     }
 
     /// Applies the limit that an answer of the engine of a reservation names, in requests per
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -11,11 +11,16 @@
         shared::lock,
     },
     jayspread_core::{
-        catalog::Catalog, engine, id::Host, mirror::Position, placement::Table, reader,
+        catalog::Catalog,
+        engine,
+        id::{Engine as Id, Host},
+        mirror::Position,
+        placement::Table,
+        reader,
     },
     jayspread_net::{clock, event, members, reports, targets},
     jayspread_platform::store::Topic,
-    jayspread_schema::peer::{Engine, Entry, Packet, Role, Target, packet::Body},
+    jayspread_schema::peer::{Engine, Entry, Leaving, Packet, Role, Target, packet::Body},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -112,9 +117,14 @@
             );
         }
     }
-    for engine in &entry.leaving_engines {
-        if lock(&state.engines).set_leaving_by_id(engine) {
-            event!(Info, "engine_leaving", engine = engine, source = host);
+    for leaving in &entry.leaving {
+        if lock(&state.engines).set_instance_leaving(&leaving.engine, leaving.born_ms) {
+            event!(
+                Info,
+                "engine_leaving",
+                engine = leaving.engine,
+                source = host
+            );
         }
     }
     quarantine::catch_up(state, entry.quarantined, from);
@@ -190,8 +200,12 @@
     let offsets = state.offsets();
     let leaving = {
         let table = lock(&state.engines);
-        let ids = table.announced_leaving().take(MAX_LEAVING);
-        ids.map(ToString::to_string).collect()
+        let leaving = table.announced_leaving().take(MAX_LEAVING);
+        let encode = |(id, born_ms): (&Id, _)| Leaving {
+            engine: id.to_string(),
+            born_ms,
+        };
+        leaving.map(encode).collect()
     };
     let quarantined = lock(&state.quarantine).digest(clock::now());
     Entry {
@@ -204,7 +218,7 @@
         store_lost: state.failing_topics.load(Ordering::Relaxed) > 0,
         news_root: String::new(),
         quarantined,
-        leaving_engines: leaving,
+        leaving,
     }
 }
 
