The order of the list's records tells which process of an engine is the later one

Cause: a listing with a lower start than the known one was taken for an older copy of the list, and with it all later records of the new process. The instance at an address, to which reports go, was also the one with the latest clock.

Ruled out: a tolerance for clocks; no bound on a step is stated. Ending a process for good once another one has followed: an append that the store executes late would then shut out the one that runs.

Change: a start is an identity and no order. Within an era of the store, the mirror applies records in the order of their offsets, so a later one replaces the process of its id; batches that are sorted by key are put into that order. Only a copy of the list, at a rise of the era, can name a process that is no longer listed. It is remembered by id and start, as before for 120 s. Such a listing waits for 4 s: a record that is written or removed meanwhile decides, else the process is used, since the store gets no record of one that runs on unchanged. Another process in a copy is listed at once; it was left out until it changed if one of its id had been removed. A process that is listed again is still leaving. A report belongs to the process at its address that it names.

leaving_engine_gets_no_requests_until_another_instance_starts took a later record for an older copy; it now names the copy, and wants the same. has_departed became is_former, by id and start.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -5,12 +5,13 @@
 //! weighted by the time to spare, so that hosts do not all choose the same one.
 
 mod choice;
+mod list;
 mod refusal;
 
 use {
     crate::{
         catalog::{Backend, Route},
-        engine::{Engine, Listing, Load, Place, Report},
+        engine::{Engine, Load, Place, Report},
         id::{DataCentre, Engine as Id, Region, Service, Started},
         outlier::Outcome,
         target::Bound,
@@ -24,9 +25,6 @@
 
 pub use refusal::Refusal;
 
-/// Time for which removed instances are remembered, so that an older copy of the list does not bring
-/// them back.
-const DEPARTED_RETENTION: Duration = Duration::from_secs(120);
 /// Time within which a listing that expired during an outage of the store may be renewed.
 pub const LISTING_GRACE: Duration = Duration::from_secs(2);
 
@@ -91,6 +89,8 @@
     engine: Engine,
     /// Distinguishes the entry from earlier ones with the same id.
     generation: u64,
+    /// Number of the last listing; increases with each of any engine.
+    listing_number: u64,
     /// Time at which the entry is removed unless it is listed again.
     expires_at: Option<Instant>,
 }
@@ -101,101 +101,12 @@
     entries: BTreeMap<Id, Entry>,
     by_address: BTreeMap<SocketAddr, Id>,
     evacuated: BTreeSet<DataCentre>,
-    /// Instances that were removed from the list, and the time at which this happened.
-    departed: BTreeMap<Id, Instant>,
+    history: list::History,
     last_generation: u64,
+    last_listing: u64,
 }
 
 impl Table {
-    /// Adds or updates an engine; returns true if it is a new instance.
-    pub fn add_listing(&mut self, listing: Listing, now: Instant) -> bool {
-        let id = listing.id.clone();
-        if let Some(entry) = self.entries.get_mut(&id) {
-            let known = &entry.engine.listing;
-            if listing.started_ms.is_some() && listing.started_ms < known.started_ms {
-                // An older copy of the list; the instance that it names no longer runs.
-                return false;
-            }
-            if known.started_ms == listing.started_ms && known.address == listing.address {
-                entry.expires_at = None;
-                entry.engine.update_listing(listing, now);
-                return false;
-            }
-        }
-        self.departed.remove(&id);
-        let address = listing.address;
-        self.last_generation += 1;
-        let entry = Entry {
-            engine: Engine::new(listing, now),
-            generation: self.last_generation,
-            expires_at: None,
-        };
-        self.entries.insert(id, entry);
-        self.map_address(address);
-        true
-    }
-
-    /// Maps an address to the instance there that started last. An earlier one may stay listed for a
-    /// while after its end.
-    fn map_address(&mut self, address: SocketAddr) {
-        let at_address = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.engine.listing.address == address);
-        let latest = at_address.max_by_key(|(_, e)| (e.engine.listing.started_ms, e.generation));
-        match latest.map(|(id, _)| id.clone()) {
-            Some(id) => self.by_address.insert(address, id),
-            None => self.by_address.remove(&address),
-        };
-    }
-
-    /// Removes an engine that is no longer listed, at once or, after an outage of the store, at
-    /// `expires_at` unless it is listed again. Returns whether the engine was known.
-    pub fn remove_listing(&mut self, id: &str, expires_at: Option<Instant>, now: Instant) -> bool {
-        let Some(expires_at) = expires_at else {
-            self.departed.insert(id.into(), now);
-            return self.remove(id);
-        };
-        match self.entries.get_mut(id) {
-            Some(entry) => {
-                entry.expires_at.get_or_insert(expires_at);
-                true
-            }
-            None => false,
-        }
-    }
-
-    fn remove(&mut self, id: &str) -> bool {
-        let Some(entry) = self.entries.remove(id) else {
-            return false;
-        };
-        self.map_address(entry.engine.listing.address);
-        true
-    }
-
-    /// Whether an engine was removed from the list a short time ago and not listed again since.
-    pub fn has_departed(&self, id: &str) -> bool {
-        self.departed.contains_key(id)
-    }
-
-    /// Removes engines whose listing expired, and returns their ids.
-    pub fn remove_expired(&mut self, now: Instant) -> Vec<Id> {
-        let expired_id = |(id, entry): (&Id, &Entry)| {
-            entry
-                .expires_at
-                .is_some_and(|expires_at| now >= expires_at)
-                .then(|| id.clone())
-        };
-        let expired: Vec<Id> = self.entries.iter().filter_map(expired_id).collect();
-        for id in &expired {
-            self.remove(id);
-            self.departed.insert(id.clone(), now);
-        }
-        self.departed
-            .retain(|_, at| now.saturating_duration_since(*at) < DEPARTED_RETENTION);
-        expired
-    }
-
     /// Sets the data centres that get no new work.
     pub fn set_evacuated(&mut self, evacuated: BTreeSet<DataCentre>) {
         self.evacuated = evacuated;
@@ -260,17 +171,29 @@
         report: Report,
         now: Instant,
     ) -> bool {
-        let Some(entry) = self.entry_at(address) else {
+        let reported = (started_ms != 0).then_some(started_ms);
+        let Some(entry) = self.reported_entry(address, reported) else {
             return false;
         };
-        let listed = entry.engine.listing.started_ms;
-        if listed.is_some_and(|listed| started_ms != 0 && listed != started_ms) {
-            return false;
-        }
         entry.engine.apply_report(report, now);
         true
     }
 
+    /// Entry that a report on the engine at an address is about. While the list has several processes
+    /// at the address, their starts tell.
+    fn reported_entry(&mut self, address: SocketAddr, reported: Started) -> Option<&mut Entry> {
+        let matches = |entry: &Entry| {
+            let listing = &entry.engine.listing;
+            let pair = listing.started_ms.zip(reported);
+            listing.address == address && pair.is_none_or(|(listed, reported)| listed == reported)
+        };
+        let latest = self.by_address.get(&address)?;
+        if self.entries.get(latest).is_some_and(matches) {
+            return self.entries.get_mut(latest);
+        }
+        self.entries.values_mut().find(|entry| matches(entry))
+    }
+
     /// Regions with an engine of a service that may get new work.
     pub fn serving_regions(&self, service: &str) -> BTreeSet<&str> {
         let serving = |entry: &&Entry| {
@@ -291,11 +214,6 @@
             .map(|entry| &entry.engine.listing.service)
     }
 
-    fn entry_at(&mut self, address: SocketAddr) -> Option<&mut Entry> {
-        let id = self.by_address.get(&address)?;
-        self.entries.get_mut(id)
-    }
-
     /// Records the load stated in an engine's answer.
     pub fn observe_load(&mut self, reservation: &Reservation, load: Load, now: Instant) {
         if let Some(entry) = self.reserved_entry(reservation) {
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -294,7 +294,9 @@
     assert_eq!(fixture.choose().as_deref(), Ok("a"));
     let mut stale = listing("a", 1, "r1");
     stale.draining = true;
-    fixture.table.add_listing(stale, fixture.now);
+    let until = fixture.now + LISTING_GRACE;
+    let added = fixture.table.add_copied_listing(stale, until, fixture.now);
+    assert_eq!(added, None, "of an older copy of the list");
     assert_eq!(fixture.choose().as_deref(), Ok("a"), "the older instance");
 }
 
@@ -310,11 +312,19 @@
         .add_listing(listing("a", 1, "r1"), fixture.now);
     fixture.table.remove_listing("b", None, fixture.now);
     assert!(fixture.choose().is_err());
-    assert!(fixture.table.has_departed("b"));
+    assert!(fixture.table.is_former("b", Some(1)));
+    let until = fixture.now + LISTING_GRACE;
+    let copied = listing("b", 2, "r1");
+    let added = fixture.table.add_copied_listing(copied, until, fixture.now);
+    assert_eq!(added, None);
+    assert!(fixture.choose().is_err());
     fixture
         .table
         .add_listing(listing("b", 2, "r1"), fixture.now);
-    assert!(!fixture.table.has_departed("b"), "it was written again");
+    assert!(
+        !fixture.table.is_former("b", Some(1)),
+        "it was written again"
+    );
 }
 
 /// After a loss of power, the list holds the earlier and the later instance of an address for a while,
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -408,6 +408,9 @@
     for engine in table.remove_expired(now) {
         event!(Info, "engine_expired", engine = engine);
     }
+    for engine in table.list_doubted(now) {
+        event!(Info, "engine_listed_by_copy", engine = engine, used = true);
+    }
     table.set_managed(|address| managers.contains(&address));
     let listed = table.iter().map(|engine| engine.listing.id.clone());
     let listed: BTreeSet<Box<str>> = listed.collect();
--- a/crates/entry/src/front/records.rs
+++ b/crates/entry/src/front/records.rs
@@ -104,14 +104,22 @@
         );
         state.metrics.store_era.set(end.era as i64);
     }
+    let count = applied.changes.len();
     match topic {
         Topic::Operator => apply_operator(state, &applied.changes, versions_named_at),
         Topic::Engines if applied.new_era => {
-            apply_copied_engines(state, &applied.changes, source, now + ERA_GRACE);
+            apply_copied_engines(state, applied.changes, source, now + ERA_GRACE);
+        }
+        Topic::Engines => {
+            let lists = Lists {
+                source,
+                doubted_until: None,
+                grace_until,
+            };
+            apply_engines(state, applied.changes, lists);
         }
-        Topic::Engines => apply_engines(state, &applied.changes, source, grace_until),
     }
-    applied.changes.len()
+    count
 }
 
 impl State {
@@ -126,18 +134,22 @@
 }
 
 /// Applies the list of engines as a copy of the store holds it: engines that it lacks are kept until
-/// `grace_until`, and those that were removed before do not come back by it.
-fn apply_copied_engines(state: &State, changes: &[Record], source: Source, grace_until: Instant) {
-    let listed = changes.iter().filter(|record| record.value.is_some());
-    let (departed, listed): (Vec<Record>, Vec<Record>) = listed
-        .cloned()
-        .partition(|record| lock(&state.engines).has_departed(&record.key));
-    for record in departed {
-        event!(Info, "engine_listed_by_copy", engine = record.key);
-    }
+/// `grace_until`, and processes that were no longer listed do not come back by it before.
+fn apply_copied_engines(state: &State, changes: Vec<Record>, source: Source, grace_until: Instant) {
+    let listed = changes.into_iter().filter(|r| r.value.is_some()).collect();
     let lacking = with_mirror(state, Topic::Engines, Mirror::release_held);
-    apply_engines(state, &listed, source, None);
-    apply_engines(state, &lacking, source, Some(grace_until));
+    let copied = Lists {
+        source,
+        doubted_until: Some(grace_until),
+        grace_until: None,
+    };
+    apply_engines(state, listed, copied);
+    let removed = Lists {
+        source,
+        doubted_until: None,
+        grace_until: Some(grace_until),
+    };
+    apply_engines(state, lacking, removed);
 }
 
 /// When the versions in a batch of records were named.
@@ -233,26 +245,38 @@
     lock(&state.engines).set_evacuated(evacuated);
 }
 
-/// Applies changes of the list of engines. A removed engine is kept until `grace_until`, if it is
-/// given, so that it can be listed again; otherwise it is dropped at once.
-fn apply_engines(state: &State, changes: &[Record], source: Source, grace_until: Option<Instant>) {
+/// How changes of the list of engines are applied.
+#[derive(Debug, Clone, Copy)]
+struct Lists {
+    source: Source,
+    /// The records are those of an older copy; the time until which they are doubted.
+    doubted_until: Option<Instant>,
+    /// Time until which removed engines are kept, so that they can be listed again; without it, they
+    /// are dropped at once.
+    grace_until: Option<Instant>,
+}
+
+/// Applies changes of the list of engines, in the order of the log: of two processes at an address, the
+/// one listed last runs there.
+fn apply_engines(state: &State, mut changes: Vec<Record>, lists: Lists) {
     let now = clock::now();
-    for record in changes {
+    changes.sort_by_key(|record| record.offset);
+    for record in &changes {
         let Some(value) = &record.value else {
-            if lock(&state.engines).remove_listing(&record.key, grace_until, now) {
+            if lock(&state.engines).remove_listing(&record.key, lists.grace_until, now) {
                 event!(
                     Info,
                     "engine_unlisted",
                     engine = record.key,
-                    grace = grace_until.is_some(),
-                    source = source.name()
+                    grace = lists.grace_until.is_some(),
+                    source = lists.source.name()
                 );
             }
             continue;
         };
         let parse = || record::parse_engine(&record.key, value, &state.settings.regions);
         let applied =
-            panic::catch(|| parse().map(|listing| list_engine(state, listing, source, now)));
+            panic::catch(|| parse().map(|listing| list_engine(state, listing, lists, now)));
         let cause: &dyn Display = match &applied {
             Ok(Ok(())) => continue,
             Ok(Err(cause)) => cause,
@@ -267,7 +291,7 @@
 fn list_engine(
     state: &State,
     listing: jayspread_core::engine::Listing,
-    source: Source,
+    lists: Lists,
     now: Instant,
 ) {
     let id = listing.id.clone();
@@ -275,7 +299,17 @@
     let version = listing.loaded.as_ref().map_or(0, |loaded| loaded.version);
     let cold_ms = listing.cold_remaining.as_millis();
     let service = listing.service.clone();
-    let is_new = lock(&state.engines).add_listing(listing, now);
+    let added = {
+        let mut table = lock(&state.engines);
+        match lists.doubted_until {
+            Some(until) => table.add_copied_listing(listing, until, now),
+            None => Some(table.add_listing(listing, now)),
+        }
+    };
+    let Some(is_new) = added else {
+        event!(Info, "engine_listed_by_copy", engine = id, used = false);
+        return;
+    };
     event!(
         Info,
         "engine_listed",
@@ -286,7 +320,7 @@
         draining = draining,
         version = version,
         cold_ms = cold_ms,
-        source = source.name()
+        source = lists.source.name()
     );
 }
 
