Connections to an earlier process of an engine's id are closed

Requests for an engine that had started again under its id at another address went to the earlier address over idle connections, and failed or waited where nobody answers there any more.

Cause: the pool of idle connections has the id as its key and was only pruned of ids that aren't listed.

Change: when the list names another process for an id, the idle connections to the earlier one are closed.

--- a/crates/entry/src/front/pool.rs
+++ b/crates/entry/src/front/pool.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Closes the connections to an engine: another process has its id now.
+    pub fn clear(&mut self, engine: &str) {
+        self.idle.remove(engine);
+    }
+
     /// Closes connections to engines that are not listed and connections that are no longer
     /// reusable.
     pub fn prune(&mut self, listed: &BTreeSet<Engine>) {
