Framing: a head without a length and nothing after it is no whole answer

Callers got a 200 with an empty body and a Content-Length of ours when an engine answered without a length and closed right after its head: the parser took every orderly end of the connection for the end of such a body. A response with two different lengths, or with a length beside chunks, was read by the field that came first, and "+5" was a length.

Cause: how the end of a body is marked was decided in passing, in the parser of the connection. core::framing decides it now from all fields of the head, and says what the end of the connection shows for each way of marking; net::channel (engines, peers, origin, store) carries it out, and tells how the body ended. Fields that contradict each other are an error, as RFC 9112 advises: no length of the two is more credible. So is a body without a length and without a byte, since nothing tells it from one whose sender stopped after the head. What that costs: an engine whose whole body is empty and that says so only by closing is asked again, or reported as 502; such a body has a length of 0 or a status 204 in practice.

Ruled out: an end inside the head. A head cut at each of its bytes, closed or reset, also after an informational response, was never a response (new test, passes on the old code).

The errors of net::channel move to a file of their own for its size.

Evidence: of the new cases of net/tests/channel.rs five failed on the old code (nothing after the head, two lengths, signed length, length and chunks, compressed chunks); all 37 tests pass.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod delay;
 pub mod engine;
 pub mod fair;
+pub mod framing;
 pub mod id;
 pub mod load;
 pub mod member;
--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -5,13 +5,18 @@
 //! whether the connection was used before. A connection that is not clean after a response must not
 //! be used again.
 
+mod error;
+
+pub use error::Error;
+
 use {
     crate::clock,
     bytes::{Buf, Bytes, BytesMut},
     http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header},
+    jayspread_core::framing::{End, Fields, Framing},
     socket2::{SockRef, TcpKeepalive},
     std::{
-        fmt, io,
+        io,
         net::SocketAddr,
         time::{Duration, Instant},
     },
@@ -43,61 +48,9 @@
 /// Share of the announced keep-alive timeout during which a connection is reused, percent.
 const KEEP_ALIVE_PERCENT: u32 = 70;
 
-/// Error of a request.
-#[derive(Debug)]
-pub enum Error {
-    /// No connection could be opened.
-    Connect(io::Error),
-    /// The connection failed before any byte of the request was sent.
-    Unsent(io::Error),
-    /// The connection failed after at least one byte of the request was sent.
-    Broken(io::Error),
-    /// The server closed the connection before the end of the response.
-    Truncated,
-    /// The response is malformed or too long.
-    Malformed(&'static str),
-}
-
-impl Error {
-    /// Whether the request cannot have reached the server.
-    pub fn is_unsent(&self) -> bool {
-        matches!(self, Error::Connect(_) | Error::Unsent(_))
-    }
-
-    /// Whether the server's host refused the connection: no process listens there.
-    pub fn is_refused(&self) -> bool {
-        matches!(self, Error::Connect(cause) if cause.kind() == io::ErrorKind::ConnectionRefused)
-    }
-
-    /// Short name for logs and counters.
-    pub fn kind(&self) -> &'static str {
-        match self {
-            Error::Connect(_) => "connect",
-            Error::Unsent(_) => "unsent",
-            Error::Broken(_) => "broken",
-            Error::Truncated => "ended",
-            Error::Malformed(_) => "malformed",
-        }
-    }
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Error::Connect(cause) => write!(f, "could not connect: {cause}"),
-            Error::Unsent(cause) => write!(f, "could not send: {cause}"),
-            Error::Broken(cause) => write!(f, "connection failed: {cause}"),
-            Error::Truncated => write!(f, "connection closed before the end of the response"),
-            Error::Malformed(reason) => write!(f, "malformed response: {reason}"),
-        }
-    }
-}
-
-impl std::error::Error for Error {}
-
 /// Parser state of the current response body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Framing {
+enum Progress {
     /// No response is being read.
     Idle,
     /// Body of known length; number of bytes remaining.
@@ -108,10 +61,36 @@
     ChunkSize { first: bool },
     /// Expects trailers.
     Trailers,
-    /// The body ends when the server closes the connection.
-    UntilClose,
+    /// The body ends when the server closes the connection; number of bytes received.
+    UntilClose(u64),
     /// The response is complete.
-    Done,
+    Done(End),
+}
+
+impl Progress {
+    /// State before the first byte of a body.
+    fn start(framing: Framing) -> Self {
+        match framing {
+            Framing::Empty => Progress::Length(0),
+            Framing::Length(length) => Progress::Length(length),
+            Framing::Chunks => Progress::ChunkSize { first: true },
+            Framing::Close => Progress::UntilClose(0),
+        }
+    }
+
+    /// How the body ended if the connection was closed in order in this state; `None` if it is
+    /// incomplete.
+    fn end_at_close(self) -> Option<End> {
+        match self {
+            Progress::UntilClose(received) => Framing::Close.end_at_close(received),
+            Progress::Length(remaining) => Framing::Length(remaining).end_at_close(0),
+            Progress::Chunk(_) | Progress::ChunkSize { .. } | Progress::Trailers => {
+                Framing::Chunks.end_at_close(0)
+            }
+            Progress::Done(end) => Some(end),
+            Progress::Idle => None,
+        }
+    }
 }
 
 /// Status and headers of a response.
@@ -134,7 +113,7 @@
     any_sent: bool,
     /// Number of requests queued so far.
     request_count: u64,
-    framing: Framing,
+    progress: Progress,
     /// The connection cannot take another request: the server closes it or an error occurred.
     must_close: bool,
     idle_timeout: Duration,
@@ -156,7 +135,7 @@
             outgoing: BytesMut::new(),
             any_sent: false,
             request_count: 0,
-            framing: Framing::Idle,
+            progress: Progress::Idle,
             must_close: false,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             idle_since: clock::now(),
@@ -175,7 +154,7 @@
         self.outgoing.extend_from_slice(body);
         self.any_sent = false;
         self.request_count += 1;
-        self.framing = Framing::Idle;
+        self.progress = Progress::Idle;
     }
 
     /// Sends the queued request and reads the response head, skipping informational responses.
@@ -209,44 +188,42 @@
         }
     }
 
-    /// Reads the next part of the body; `None` after a complete body.
+    /// Reads the next part of the body; `None` after its end. [`Channel::end`] tells how it ended.
     pub async fn receive_data(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
-            match self.framing {
-                Framing::Idle => return Err(Error::Malformed("no response is being read")),
-                Framing::Done => return Ok(None),
-                Framing::Length(0) => self.finish_response(),
-                Framing::Length(remaining) if !self.incoming.is_empty() => {
+            match self.progress {
+                Progress::Idle => return Err(Error::Malformed("no response is being read")),
+                Progress::Done(_) => return Ok(None),
+                Progress::Length(0) => self.finish_response(End::Marked),
+                Progress::Length(remaining) if !self.incoming.is_empty() => {
                     let (data, remaining) = self.take_body(remaining);
-                    self.framing = Framing::Length(remaining);
+                    self.progress = Progress::Length(remaining);
                     return Ok(Some(data));
                 }
-                Framing::Chunk(0) => self.framing = Framing::ChunkSize { first: false },
-                Framing::Chunk(remaining) if !self.incoming.is_empty() => {
+                Progress::Chunk(0) => self.progress = Progress::ChunkSize { first: false },
+                Progress::Chunk(remaining) if !self.incoming.is_empty() => {
                     let (data, remaining) = self.take_body(remaining);
-                    self.framing = Framing::Chunk(remaining);
+                    self.progress = Progress::Chunk(remaining);
                     return Ok(Some(data));
                 }
-                Framing::ChunkSize { first } => {
+                Progress::ChunkSize { first } => {
                     if !self.parse_chunk_size(first)? {
                         self.read_more().await?;
                     }
                 }
-                Framing::Trailers => {
+                Progress::Trailers => {
                     if !self.skip_trailers()? {
                         self.read_more().await?;
                     }
                 }
-                Framing::UntilClose if !self.incoming.is_empty() => {
-                    return Ok(Some(self.incoming.split().freeze()));
+                Progress::UntilClose(received) if !self.incoming.is_empty() => {
+                    let data = self.incoming.split().freeze();
+                    self.progress = Progress::UntilClose(received + data.len() as u64);
+                    return Ok(Some(data));
                 }
-                Framing::UntilClose => {
-                    if self.transfer().await? == 0 {
-                        self.must_close = true;
-                        self.finish_response();
-                    }
+                Progress::Length(_) | Progress::Chunk(_) | Progress::UntilClose(_) => {
+                    self.read_more().await?;
                 }
-                Framing::Length(_) | Framing::Chunk(_) => self.read_more().await?,
             }
         }
     }
@@ -255,8 +232,8 @@
     pub async fn receive_body(&mut self, max: usize) -> Result<Bytes, Error> {
         let mut body = BytesMut::new();
         while let Some(data) = self.receive_data().await? {
-            if body.is_empty() && self.framing == Framing::Length(0) {
-                self.finish_response();
+            if body.is_empty() && self.progress == Progress::Length(0) {
+                self.finish_response(End::Marked);
                 return Ok(data);
             }
             if body.len() + data.len() > max {
@@ -267,10 +244,18 @@
         Ok(body.freeze())
     }
 
+    /// How the body of the last response ended; `None` until it has.
+    pub fn end(&self) -> Option<End> {
+        match self.progress {
+            Progress::Done(end) => Some(end),
+            _ => None,
+        }
+    }
+
     /// Whether the last response is complete, no unread or unsent bytes remain, and the connection
     /// stays open.
     pub fn is_clean(&self) -> bool {
-        matches!(self.framing, Framing::Done | Framing::Idle)
+        matches!(self.progress, Progress::Done(_) | Progress::Idle)
             && self.incoming.is_empty()
             && self.outgoing.is_empty()
             && !self.must_close
@@ -313,13 +298,13 @@
         }
         loop {
             let (mut reader, mut writer) = self.stream.split();
-            let progress = tokio::select! {
+            let step = tokio::select! {
                 biased;
-                sent = writer.write(&self.outgoing) => sent.map(Progress::Sent),
-                read = reader.read_buf(&mut self.incoming) => read.map(Progress::Received),
+                sent = writer.write(&self.outgoing) => sent.map(Step::Sent),
+                read = reader.read_buf(&mut self.incoming) => read.map(Step::Received),
             };
-            match progress {
-                Ok(Progress::Sent(count)) => {
+            match step {
+                Ok(Step::Sent(count)) => {
                     self.outgoing.advance(count);
                     self.any_sent |= count > 0;
                     if self.outgoing.is_empty() {
@@ -327,16 +312,20 @@
                         return read.map_err(|cause| self.io_error(cause));
                     }
                 }
-                Ok(Progress::Received(count)) => return Ok(count),
+                Ok(Step::Received(count)) => return Ok(count),
                 Err(cause) => return Err(self.io_error(cause)),
             }
         }
     }
 
+    /// Reads more of the body, whose end may be that of the connection.
     async fn read_more(&mut self) -> Result<(), Error> {
-        if self.transfer().await? == 0 {
-            return Err(Error::Truncated);
+        if self.transfer().await? > 0 {
+            return Ok(());
         }
+        self.must_close = true;
+        let end = self.progress.end_at_close().ok_or(Error::Truncated)?;
+        self.finish_response(end);
         Ok(())
     }
 
@@ -356,8 +345,8 @@
         )
     }
 
-    fn finish_response(&mut self) {
-        self.framing = Framing::Done;
+    fn finish_response(&mut self, end: End) {
+        self.progress = Progress::Done(end);
         self.idle_since = clock::now();
     }
 
@@ -373,9 +362,9 @@
         match httparse::parse_chunk_size(&self.incoming[line_break_bytes..]) {
             Ok(httparse::Status::Complete((consumed, size))) => {
                 self.incoming.advance(line_break_bytes + consumed);
-                self.framing = match size {
-                    0 => Framing::Trailers,
-                    size => Framing::Chunk(size),
+                self.progress = match size {
+                    0 => Progress::Trailers,
+                    size => Progress::Chunk(size),
                 };
                 Ok(true)
             }
@@ -391,13 +380,13 @@
     fn skip_trailers(&mut self) -> Result<bool, Error> {
         if self.incoming.starts_with(b"\r\n") {
             self.incoming.advance(2);
-            self.finish_response();
+            self.finish_response(End::Marked);
             return Ok(true);
         }
         let end = self.incoming.windows(4).position(|w| w == b"\r\n\r\n");
         if let Some(end) = end {
             self.incoming.advance(end + 4);
-            self.finish_response();
+            self.finish_response(End::Marked);
             return Ok(true);
         }
         if self.incoming.len() > MAX_HEAD_BYTES {
@@ -429,9 +418,9 @@
             };
             header_map.append(name, value);
         }
-        let close_by_default = parsed.version == Some(0);
+        let is_http_10 = parsed.version == Some(0);
         self.incoming.advance(length);
-        self.set_framing(status, &header_map, close_by_default)?;
+        self.set_framing(status, &header_map, is_http_10)?;
         Ok(Some(Head {
             status,
             headers: header_map,
@@ -443,7 +432,7 @@
         &mut self,
         status: StatusCode,
         headers: &HeaderMap,
-        close_by_default: bool,
+        is_http_10: bool,
     ) -> Result<(), Error> {
         let has_token = |name, token: &str| {
             let values = headers.get_all(name).iter();
@@ -452,29 +441,29 @@
                 .flat_map(|text| text.split(','))
                 .any(|item| item.trim().eq_ignore_ascii_case(token))
         };
-        self.must_close = close_by_default || has_token(header::CONNECTION, "close");
+        self.must_close = is_http_10 || has_token(header::CONNECTION, "close");
         if let Some(timeout) = keep_alive_timeout(headers) {
             self.idle_timeout = timeout * KEEP_ALIVE_PERCENT / 100;
         }
-        let no_body = status.is_informational()
-            || status == StatusCode::NO_CONTENT
-            || status == StatusCode::NOT_MODIFIED;
-        self.framing = if no_body {
-            Framing::Length(0)
-        } else if has_token(header::TRANSFER_ENCODING, "chunked") {
-            Framing::ChunkSize { first: true }
-        } else if let Some(length) = headers.get(header::CONTENT_LENGTH) {
-            let length = length.to_str().ok().and_then(|text| text.parse().ok());
-            Framing::Length(length.ok_or(Error::Malformed("invalid Content-Length"))?)
-        } else {
-            Framing::UntilClose
+        let values = |name| {
+            let values = headers.get_all(name).iter();
+            values.map(HeaderValue::as_bytes).collect()
         };
+        let fields = Fields {
+            status: status.as_u16(),
+            is_http_10,
+            codings: values(header::TRANSFER_ENCODING),
+            lengths: values(header::CONTENT_LENGTH),
+        };
+        let framing = fields.framing();
+        let framing = framing.map_err(|fault| Error::Malformed(fault.reason()))?;
+        self.progress = Progress::start(framing);
         Ok(())
     }
 }
 
 /// Result of one step of [`Channel::transfer`]: number of bytes sent or received.
-enum Progress {
+enum Step {
     Sent(usize),
     Received(usize),
 }
--- a/crates/net/tests/channel.rs
+++ b/crates/net/tests/channel.rs
@@ -87,6 +87,10 @@
     false
 )]
 #[case::end_of_connection(b"HTTP/1.1 200 OK\r\n\r\nhello", false)]
+#[case::same_length_twice(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+    true
+)]
 #[case::excess_bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP", false)]
 #[tokio::test]
 async fn reads_complete_response(#[case] response: &'static [u8], #[case] clean: bool) {
@@ -121,6 +125,20 @@
 #[case::invalid_content_length(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", false)]
 #[case::no_response(b"", false)]
 #[case::reset_without_length(b"HTTP/1.1 200 OK\r\n\r\nhello", true)]
+#[case::nothing_after_a_head_without_length(b"HTTP/1.1 200 OK\r\n\r\n", false)]
+#[case::two_lengths(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 9\r\n\r\nhello",
+    false
+)]
+#[case::signed_length(b"HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello", false)]
+#[case::length_and_chunks(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    false
+)]
+#[case::compressed_chunks(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    false
+)]
 #[tokio::test]
 async fn reports_incomplete_or_malformed_response(
     #[case] response: &'static [u8],
@@ -132,6 +150,24 @@
     assert!(!channel.is_reusable(TIMEOUT));
 }
 
+/// Guards against a success with an empty or short body when a server stops in the middle of its head.
+#[rstest]
+#[case::length(b"HTTP/1.1 200 OK\r\nSeal: x\r\nContent-Length: 0\r\n\r\n")]
+#[case::no_length(b"HTTP/1.1 200 OK\r\nSeal: x\r\nConnection: close\r\n\r\n")]
+#[case::after_informational(b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nSeal: x\r\n\r\n")]
+#[tokio::test]
+async fn head_that_ends_early_is_no_response(
+    #[case] head: &'static [u8],
+    #[values(false, true)] reset: bool,
+) {
+    for length in 0..head.len() {
+        let (channel, body) = exchange(&head[..length], reset).await;
+        let error = body.expect_err("response has no whole head");
+        assert!(!error.is_unsent(), "the request was sent: {error}");
+        assert!(!channel.is_reusable(TIMEOUT));
+    }
+}
+
 /// Bytes without end must not be buffered or skipped for ever.
 #[rstest]
 #[case::chunk_extension(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", b"x")]
