Answers: the end of a connection is no proof that an answer is whole

core::proof decides what may be passed on: a body with a mark at its end is whole; one that ended with its connection is so only if its engine's process goes on after it. front::proof carries that out for plain answers and streams: 20 ms after the end (a process loses its connections and its listener one after another) it opens a connection to the engine. Accepted: whole. Refused: the engine has ended; a resumable stream goes on at another engine, an idempotent request is repeated, anything else is 502 or a broken stream, and the crash counts for the quarantine. Unreachable: again, for 0.75 s at most, then it counts as broken.

Ways weighed. Asking another engine to go on after every such end proves more, but takes a place in the retry budget and an attempt for each sound answer, and an answer to a request that may run once can't be asked again. Waiting for the agent's report takes up to 1 s and plain engines have no agent. The connection costs little: the answer has used one up, and the new one goes into the pool for the next request. The cost is 20 ms at the end of an answer without a length; events are relayed without delay.

What stays open: an engine that closes after a part and lives on, and one that is back within 20 ms, look like one that has finished. An engine that exits after its last whole answer without a length counts as crashed, and its caller gets a broken or repeated answer.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod patience;
 pub mod placement;
 pub mod progress;
+pub mod proof;
 pub mod quarantine;
 pub mod ramp;
 pub mod reader;
--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -11,6 +11,7 @@
     },
     http::StatusCode,
     jayspread_core::{
+        framing::End,
         outlier::Outcome,
         quarantine::{Instance, Part},
     },
@@ -111,7 +112,7 @@
 
     /// Records that the engine has sent its whole answer.
     pub fn record_answer(&mut self) {
-        if self.channel.is_clean() {
+        if self.channel.end() == Some(End::Marked) {
             self.record_completion();
         } else if self.fate == Fate::Open {
             self.fate = Fate::Settled;
--- a/crates/entry/src/front/flight.rs
+++ b/crates/entry/src/front/flight.rs
@@ -6,6 +6,7 @@
 use {
     crate::front::{
         body::{Body, full},
+        proof,
         stream::{Expected, Stream},
         upstream::{self, Failure, Permit},
     },
@@ -149,6 +150,17 @@
             return Err(Failure::Timeout);
         }
     };
+    match time::timeout_at(deadline.into(), proof::prove(&attempt)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(fault)) => {
+            attempt.record_failure(fault.name(), 0);
+            return Err(Failure::Lost(fault.name()));
+        }
+        Err(_) => {
+            attempt.permit.set_outcome(Outcome::Failure, "unproven");
+            return Err(Failure::Timeout);
+        }
+    }
     attempt.permit.set_outcome(Outcome::Success, "answered");
     if head.status.is_success() {
         attempt.record_answer();
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! `listener` accepts connections, `connection` serves them, `relay` handles requests, and `exchange`
 //! sends them to engines that `acquire` chooses, through `flight` and `upstream`; `attempt` finds out
-//! whether an engine crashed on one. `watch` follows the platform's store, and `records` applies what
+//! whether an engine crashed on one, and `proof` whether an answer is whole. `watch` follows the platform's store, and `records` applies what
 //! it says;
 //! `gossip` and `peers` communicate with the other processes. `quarantine` keeps requests from
 //! engines that their prompts would crash.
@@ -20,6 +20,7 @@
 mod pool;
 pub mod problem;
 mod process;
+mod proof;
 mod quarantine;
 mod records;
 mod relay;
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -8,6 +8,7 @@
         exchange::{Exchange, Silent},
         flight::{Answer, Flights},
         problem::Problem,
+        proof,
         quarantine::MAX_EVENTS_BEFORE_CRASH,
         upstream::{Failure, Response},
     },
@@ -15,6 +16,7 @@
     http::header,
     jayspread_core::{
         call::Event as CallEvent,
+        framing::End,
         id::Engine,
         outlier::Outcome,
         resume::{Fault, Run},
@@ -58,6 +60,8 @@
     event_count: u32,
     /// Whether the engine has ended the stream.
     has_ended: bool,
+    /// Checks whether the stream, which has ended, is whole.
+    proof: Option<proof::Pending>,
 }
 
 /// Result of reading from a stream.
@@ -87,6 +91,7 @@
             first_event: None,
             event_count: 0,
             has_ended: false,
+            proof: None,
         };
         match stream.next_event().await {
             Next::Event(event) => stream.first_event = Some(event),
@@ -132,10 +137,26 @@
         Some(event)
     }
 
-    /// Whether the end of the stream may be that of a connection to an engine that crashed before its
-    /// first event.
-    fn may_be_cut_off(&self) -> bool {
-        self.event_count == 0 && !self.response.attempt.channel.is_clean()
+    /// Handles the end of the response. Can be dropped and called again.
+    async fn conclude(&mut self) -> Next {
+        if !self.splitter.is_empty() {
+            return Next::Broken("ended_inside_an_event");
+        }
+        let end = self.response.attempt.channel.end();
+        if self.event_count == 0 && end != Some(End::Marked) {
+            // The engine may have crashed before its first event.
+            return Next::Broken("empty");
+        }
+        if let Err(fault) = self.expected.run.check_end() {
+            return Next::Broken(fault.name());
+        }
+        let attempt = &self.response.attempt;
+        let proof = self.proof.get_or_insert_with(|| proof::prove(attempt));
+        match time::timeout_at(self.expected.deadline.into(), proof).await {
+            Ok(Ok(())) => Next::End,
+            Ok(Err(fault)) => Next::Broken(fault.name()),
+            Err(_) => Next::Deadline,
+        }
     }
 
     /// Waits for the next event. Can be dropped and called again without losing any.
@@ -172,14 +193,7 @@
                         return Next::Broken("event_too_long");
                     }
                 }
-                Ok(Ok(None)) if self.may_be_cut_off() => return Next::Broken("empty"),
-                Ok(Ok(None)) if self.splitter.is_empty() => {
-                    return match self.expected.run.check_end() {
-                        Ok(()) => Next::End,
-                        Err(fault) => Next::Broken(fault.name()),
-                    };
-                }
-                Ok(Ok(None)) => return Next::Broken("ended_inside_an_event"),
+                Ok(Ok(None)) => return self.conclude().await,
                 Ok(Err(cause)) => return Next::Broken(cause.kind()),
                 Err(_) => {}
             }
