Body: what came before an abort is written before the connection ends

Cause: the HTTP server writes when the body has nothing ready. Events and the error that follows them were ready in one go, and an error ends the connection with what is still in its buffer. A body now waits once before an error, for aborts and panics alike, and the server writes meanwhile. A caller whose receive buffer is full still loses what the kernel didn't take.

--- a/crates/entry/src/front/body.rs
+++ b/crates/entry/src/front/body.rs
@@ -7,6 +7,7 @@
     hyper::body::Frame,
     jayspread_net::panic::{self, Panic},
     std::{convert::Infallible, fmt},
+    tokio::task,
 };
 
 /// Error that ends a response body early: the connection closes without the final chunk, so the
@@ -42,7 +43,7 @@
 }
 
 /// A body that starts with `first` and polls `source` as the caller reads; dropping the body drops
-/// the source.
+/// the source. What came before an error is written before the body fails.
 pub fn streaming(first: Bytes, source: impl Source) -> Body {
     let state = (Some(first), source);
     let frames = stream::unfold(state, |(first, mut source)| async move {
@@ -56,6 +57,11 @@
                 }
             },
         };
+        if chunk.is_err() {
+            // An error ends the connection with what it has not written yet. It writes while the body
+            // waits.
+            task::yield_now().await;
+        }
         Some((chunk.map(Frame::data), (None, source)))
     });
     BodyExt::boxed_unsync(StreamBody::new(frames))
--- a/crates/entry/tests/connection.rs
+++ b/crates/entry/tests/connection.rs
@@ -37,6 +37,8 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 const STREAM_TIME: Duration = Duration::from_millis(400);
 const MAX_RESPONSE_BYTES: usize = 1 << 10;
+const FIRST_EVENT: &[u8] = b"id: 1\ndata: 1\n\n";
+const SECOND_EVENT: &[u8] = b"id: 2\ndata: 2\n\n";
 const REQUEST: &[u8] = b"GET /slow HTTP/1.1\r\nHost: test\r\n\r\n";
 
 /// Server of one connection; its handler panics for the path `/panic`, and never answers `/slow`.
@@ -84,6 +86,10 @@
                     if request.uri().path() == "/late" {
                         return Response::new(body::streaming(Bytes::new(), Late(true)));
                     }
+                    if request.uri().path() == "/aborted" {
+                        let first = Bytes::from_static(FIRST_EVENT);
+                        return Response::new(body::streaming(first, Failing(Some(SECOND_EVENT))));
+                    }
                     Problem::rejected(StatusCode::NOT_FOUND, "no_route").into_response(None)
                 }
             })
@@ -160,6 +166,42 @@
     }
 }
 
+/// Source of a body that is aborted right after this event.
+struct Failing(Option<&'static [u8]>);
+
+impl Source for Failing {
+    async fn next(&mut self) -> Option<Result<Bytes, Aborted>> {
+        Some(self.0.take().map(Bytes::from_static).ok_or(Aborted))
+    }
+
+    fn record_panic(&mut self, panic: &Panic) {
+        unreachable!("{panic}")
+    }
+}
+
+/// Guards against a caller who gets neither the head nor the events of a stream that is aborted as
+/// soon as it has begun.
+#[tokio::test]
+async fn stream_that_is_aborted_at_once_sends_what_came_before() {
+    let server = Server::open(TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("connects");
+    let request = b"GET /aborted HTTP/1.1\r\nHost: test\r\n\r\n";
+    stream.write_all(request).await.expect("writes");
+    let mut received = Vec::new();
+    let read = time::timeout(TIMEOUT, stream.read_to_end(&mut received)).await;
+    read.expect("in time").expect("is closed in order");
+    let received = String::from_utf8_lossy(&received);
+    assert!(received.starts_with("HTTP/1.1 200 OK\r\n"), "{received}");
+    for event in [FIRST_EVENT, SECOND_EVENT] {
+        let event = String::from_utf8_lossy(event);
+        assert!(received.contains(&*event), "{received}");
+    }
+    assert!(
+        !received.ends_with("\r\n0\r\n\r\n"),
+        "looks complete: {received}"
+    );
+}
+
 /// Guards against a connection that is closed at the end of a stream which took longer than the idle
 /// timeout.
 #[tokio::test]
