Slow readers: callers that go on reading are not reset

What callers saw: a caller that reads slowly through a small receive buffer, or pauses, is reset after a few seconds though it reads on.

Cause: TCP_USER_TIMEOUT of 2.5 s on callers' connections. While the peer's window is closed, the kernel counts it from the first probe and not from the last answer, so that it cannot tell a slow reader from a dead peer.

Ruled out: a longer user timeout (also ends slow readers, only later, and keeps dead peers); progress of writes alone (says nothing about a dead peer for as long as a slow one may pause).

Change: core::delivery decides from samples, without sockets or clock: dead (nothing answered for 2.5 s, the bound of before), standing still (answers, but takes no byte for 30 s), waiting or idle. net::inspection asks the kernel (sock_diag) for the queue of one connection; net::caller wraps callers' connections, samples them each 0.5 s while anything is unacknowledged, and resets those that have ended. Idle connections keep their keepalive, closed after two unanswered probes. The kernel holds at most 128 KiB unsent for each, since it held whole answers. Where sock_diag is not available, only the bound of 30 s holds, and the keepalive.

Not tested: a peer that answers nothing, on real sockets; it is tested in core only.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod clamp;
 pub mod config;
 pub mod delay;
+pub mod delivery;
 pub mod engine;
 pub mod fair;
 pub mod id;
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -17,7 +17,11 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, sync::watch, time},
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        sync::watch,
+        time,
+    },
 };
 
 /// Time for which a connection is still read when its idle timeout has passed: a host that was held up
@@ -125,8 +129,9 @@
 }
 
 /// Serves a connection until it ends. A request whose handler panics is answered with 502.
-pub async fn serve<T, H, F>(stream: TcpStream, settings: Settings<T>, handler: H)
+pub async fn serve<S, T, H, F>(stream: S, settings: Settings<T>, handler: H)
 where
+    S: AsyncRead + AsyncWrite + Unpin,
     T: Fn() -> Duration,
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
--- a/crates/entry/src/front/listener.rs
+++ b/crates/entry/src/front/listener.rs
@@ -11,7 +11,7 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     jayspread_core::restart::Policy,
-    jayspread_net::{admin::View, channel, event, task::Supervisor},
+    jayspread_net::{admin::View, caller::Connection, channel, event, task::Supervisor},
     std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -78,9 +78,6 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Err(cause) = channel::set_socket_options(&stream) {
-                    event!(Debug, "socket_options_failed", reason = cause);
-                }
                 on_connection(stream);
             }
             Err(cause) => {
@@ -104,7 +101,7 @@
         },
         shutdown: state.shutdown.subscribe(),
     };
-    connection::serve(stream, settings, |request| {
+    connection::serve(Connection::new(stream), settings, |request| {
         relay::serve(Arc::clone(&state), request)
     })
     .await;
@@ -112,6 +109,9 @@
 
 /// Answers health checks: 200 if this host accepts new connections, otherwise 503.
 async fn serve_balancer(stream: TcpStream, state: Arc<State>) {
+    if let Err(cause) = channel::set_socket_options(&stream) {
+        event!(Debug, "socket_options_failed", reason = cause);
+    }
     let service = service_fn(move |_: Request<Incoming>| {
         let status = match state.ready() {
             Ok(()) => StatusCode::OK,
--- /dev/null
+++ b/crates/net/src/caller.rs
@@ -0,0 +1,203 @@
+//! Connection of a caller, which may read slowly.
+//!
+//! The kernel's user timeout also ends connections whose peer reads slowly, since it counts from the
+//! last byte taken while the peer's window is closed. Callers' connections are watched here instead.
+
+use {
+    crate::{clock, event, inspection},
+    jayspread_core::delivery::{End, SAMPLE_INTERVAL, Sample, Verdict, Watch},
+    socket2::{SockRef, TcpKeepalive},
+    std::{
+        io::{self, IoSlice},
+        pin::Pin,
+        task::{Context, Poll},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+        time::{self, Sleep},
+    },
+};
+
+/// Idle time before the first TCP keepalive probe and interval between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of unanswered keepalive probes after which the kernel closes a connection.
+const KEEPALIVE_PROBES: u32 = 2;
+/// Number of bytes that the kernel takes beyond those that it has sent. Without a bound it would hold
+/// whole answers for slow readers.
+const UNSENT_BYTES: u32 = 128 << 10;
+
+/// Connection that fails if its peer is dead, or takes no byte for a long time.
+pub struct Connection {
+    stream: TcpStream,
+    /// Number of bytes that the kernel has taken.
+    written: u64,
+    /// Whether the last write found no room.
+    is_blocked: bool,
+    /// Set while the peer may not have taken all bytes.
+    watch: Option<Watch>,
+    next_sample: Pin<Box<Sleep>>,
+    end: Option<End>,
+}
+
+impl Connection {
+    /// Wraps an accepted connection and sets its options; the kernel's default replaces one that it
+    /// refuses.
+    pub fn new(stream: TcpStream) -> Self {
+        let socket = SockRef::from(&stream);
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_INTERVAL)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(KEEPALIVE_PROBES);
+        for (name, result) in [
+            ("nodelay", stream.set_nodelay(true)),
+            ("keepalive", socket.set_tcp_keepalive(&keepalive)),
+            ("unsent_bytes", socket.set_tcp_notsent_lowat(UNSENT_BYTES)),
+        ] {
+            if let Err(cause) = result {
+                event!(Debug, "socket_option_failed", option = name, reason = cause);
+            }
+        }
+        Self {
+            stream,
+            written: 0,
+            is_blocked: false,
+            watch: None,
+            next_sample: Box::pin(time::sleep(Duration::ZERO)),
+            end: None,
+        }
+    }
+
+    /// Records a write and starts to watch the peer if it was idle.
+    fn record_write(&mut self, context: &mut Context<'_>, written: Option<usize>) {
+        let before = self.written;
+        self.written += written.unwrap_or(0) as u64;
+        self.is_blocked = written.is_none();
+        let is_watched = self.is_blocked || inspection::is_available();
+        if self.watch.is_none() && is_watched {
+            self.watch = Some(Watch::new(before, clock::now()));
+            self.schedule();
+        }
+        // Registers the task for the next sample.
+        let _ = self.next_sample.as_mut().poll(context);
+    }
+
+    fn schedule(&mut self) {
+        let at = time::Instant::now() + SAMPLE_INTERVAL;
+        self.next_sample.as_mut().reset(at);
+    }
+
+    /// Samples the connection when that is due; fails if it must be closed.
+    fn check(&mut self, context: &mut Context<'_>) -> io::Result<()> {
+        while self.end.is_none()
+            && let Some(watch) = &mut self.watch
+            && self.next_sample.as_mut().poll(context).is_ready()
+        {
+            let addresses = (self.stream.local_addr(), self.stream.peer_addr());
+            let queue = match addresses {
+                (Ok(local), Ok(peer)) => inspection::queue(local, peer),
+                _ => None,
+            };
+            let sample = Sample {
+                written: self.written,
+                is_blocked: self.is_blocked,
+                queue,
+            };
+            match watch.observe(sample, clock::now()) {
+                Verdict::Idle => self.watch = None,
+                Verdict::Waiting => self.schedule(),
+                Verdict::Ended(end) => self.abort(end, sample),
+            }
+        }
+        match self.end {
+            Some(end) => Err(io::Error::new(io::ErrorKind::TimedOut, end.name())),
+            None => Ok(()),
+        }
+    }
+
+    /// Makes the connection be reset when it is dropped, so that the kernel holds nothing for it.
+    fn abort(&mut self, end: End, sample: Sample) {
+        self.end = Some(end);
+        event!(
+            Info,
+            "caller_given_up",
+            reason = end.name(),
+            written = sample.written,
+            unacknowledged = sample.queue.map_or(0, |queue| queue.unacknowledged)
+        );
+        if let Err(cause) = self.stream.set_zero_linger() {
+            event!(
+                Debug,
+                "socket_option_failed",
+                option = "linger",
+                reason = cause
+            );
+        }
+    }
+
+    fn poll_write_with(
+        &mut self,
+        context: &mut Context<'_>,
+        write: impl FnOnce(Pin<&mut TcpStream>, &mut Context<'_>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        self.check(context)?;
+        match write(Pin::new(&mut self.stream), context) {
+            Poll::Ready(result) => {
+                self.record_write(context, Some(*result.as_ref().unwrap_or(&0)));
+                Poll::Ready(result)
+            }
+            Poll::Pending => {
+                self.record_write(context, None);
+                Poll::Pending
+            }
+        }
+    }
+}
+
+impl AsyncRead for Connection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if read.is_pending() {
+            self.check(context)?;
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Connection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(context, |stream, context| stream.poll_write(context, data))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(context, |stream, context| {
+            stream.poll_write_vectored(context, slices)
+        })
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check(context)?;
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod body;
+pub mod caller;
 pub mod cert;
 pub mod channel;
 pub mod client;
@@ -10,6 +11,7 @@
 pub mod datagram;
 pub mod frame;
 pub mod http;
+pub mod inspection;
 pub mod link;
 pub mod members;
 pub mod node;
