Slow readers: the memory held for their answers is bounded

What callers could see: whole answers of up to 16 MiB are buffered until their callers have taken them, without a bound on the sum. With callers that may now read slowly for as long as they read, a host with 260 MB could be ended by its limit, which cuts all its answers.

Cause: nothing counted what is held.

Change: core::backlog counts the bytes of whole answers from the moment at which they are buffered until the kernel has taken the last one or the answer is dropped. While 30 % of the memory of the process (limits.memory_mb of the platform's settings; 256 MB if it states none) is held, a request is refused with 503, reason slow_readers, before its body is read. Retry-After is the time until less is held at the rate of the last 4 to 8 s, from 0.1 to 5 s. The state dump has held_bytes.

Bound: answers of requests that were admitted before the limit was reached come on top of it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod answer;
 pub mod audience;
+pub mod backlog;
 pub mod bundle;
 pub mod call;
 pub mod catalog;
--- a/crates/entry/src/front/flight.rs
+++ b/crates/entry/src/front/flight.rs
@@ -6,6 +6,7 @@
 use {
     crate::front::{
         body::{Body, full},
+        held,
         stream::{Expected, Stream},
         upstream::{self, Failure, Permit},
     },
@@ -149,6 +150,7 @@
             return Err(Failure::Timeout);
         }
     };
+    let body = held::hold(attempt.permit.state(), body);
     attempt.permit.set_outcome(Outcome::Success, "answered");
     if head.status.is_success() {
         attempt.record_answer();
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! `listener` accepts connections, `connection` serves them, `relay` handles requests, and `exchange`
 //! sends them to engines that `acquire` chooses, through `flight` and `upstream`; `attempt` finds out
-//! whether an engine crashed on one. `watch` follows the platform's store, and `records` applies what
+//! whether an engine crashed on one; `held` counts answers that callers have not taken. `watch` follows the platform's store, and `records` applies what
 //! it says;
 //! `gossip` and `peers` communicate with the other processes. `quarantine` keeps requests from
 //! engines that their prompts would crash.
@@ -14,6 +14,7 @@
 mod exchange;
 mod flight;
 mod gossip;
+mod held;
 mod listener;
 mod metrics;
 mod peers;
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -12,6 +12,7 @@
             trace::Trace,
         },
         metrics,
+        shared::lock,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode, header, request::Parts},
@@ -178,6 +179,9 @@
     let Some(catalog) = state.catalog() else {
         return Err(Problem::unavailable("starting", STARTUP_RETRY_AFTER));
     };
+    if let Some(wait) = lock(&state.backlog).refusal(clock::now()) {
+        return Err(Problem::unavailable("slow_readers", wait));
+    }
     let Some(request) = request else {
         return Err(Problem::rejected(StatusCode::BAD_REQUEST, "no_request_id"));
     };
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -2,7 +2,7 @@
 //!
 //! Lock order: `mirrors`, `catalog`, `stranded`, `targets`, `retry_budgets`, `longest_timeouts`,
 //! `saturated_at`, `engines`, `quarantine`, `roster`, `peers`, `agents`, `peak_hosts`, `pool`,
-//! `pending_news`, `passed_on`. A task holds at most two locks, taken in this order, and none across an await.
+//! `pending_news`, `passed_on`, `backlog`. A task holds at most two locks, taken in this order, and none across an await.
 
 use {
     crate::{
@@ -10,6 +10,7 @@
         shared::lock,
     },
     jayspread_core::{
+        backlog::Backlog,
         catalog::{Catalog, Route},
         engine::{Engine, Place},
         id::{Host, Service},
@@ -189,6 +190,8 @@
     pub has_engine_list: AtomicBool,
     /// Number of requests in flight.
     pub in_flight: AtomicUsize,
+    /// Answers that callers have not taken yet.
+    pub backlog: Mutex<Backlog>,
     dropped_lines: ErrorCounter,
 }
 
@@ -234,6 +237,7 @@
             refuse_from: OnceLock::new(),
             has_engine_list: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
+            backlog: Mutex::new(Backlog::new(settings.memory_bytes, now)),
             dropped_lines,
             settings,
         })
@@ -436,6 +440,7 @@
             "reporting_agents": reporting_agents,
             "store_topics_lost": self.failing_topics.load(Ordering::Relaxed),
             "in_flight": self.in_flight.load(Ordering::Relaxed),
+            "held_bytes": lock(&self.backlog).held(),
         })
     }
 
