--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod answer;
 pub mod audience;
+pub mod backlog;
 pub mod bundle;
 pub mod call;
 pub mod catalog;
@@ -16,6 +17,7 @@
 pub mod config;
 pub mod connection;
 pub mod delay;
+pub mod delivery;
 pub mod engine;
 pub mod fair;
 pub mod fetch;
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -4,14 +4,14 @@
     crate::front::{
         body::Body,
         problem::Problem,
-        socket::{self, Progress, Socket},
+        socket::{Progress, Socket},
     },
     http::{HeaderName, HeaderValue, Request, Response, header},
     http_body_util::BodyExt,
     hyper::{Error, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     jayspread_core::connection::{Limits, Stage},
-    jayspread_net::{clock, event, panic},
+    jayspread_net::{caller, clock, event, inspection, panic},
     std::{
         convert::Infallible,
         error::Error as _,
@@ -30,6 +30,8 @@
 const EXPIRY_GRACE: Duration = Duration::from_millis(50);
 /// Time for which a connection that this side has closed is still read.
 const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Longest such time for a caller that still takes its last response.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(30);
 /// Size of the buffer in which what is still read is discarded, bytes.
 const LINGER_BUFFER_BYTES: usize = 4 << 10;
 /// Response to a head that takes too long.
@@ -284,13 +286,14 @@
 
 /// Ends the sending direction. It may have ended before.
 fn shut_down(stream: &TcpStream) {
-    if let Err(cause) = socket::shut_down(stream) {
+    if let Err(cause) = caller::shut_down(stream) {
         event!(Debug, "caller_connection_ended", reason = cause);
     }
 }
 
-/// Waits for a limited time until the caller has closed the connection as well: a connection that is
-/// closed with unread data is reset, and the caller may lose the last response.
+/// Waits for a limited time until the caller has closed the connection as well, or has acknowledged
+/// everything: a connection that is closed with unread data is reset, and the caller may lose the last
+/// response.
 async fn linger(stream: &TcpStream, progress: &Progress) {
     progress.close();
     let mut buffer = [0; LINGER_BUFFER_BYTES];
@@ -306,7 +309,15 @@
             }
         }
     };
-    let ended = time::timeout(LINGER_TIME, discarding).await;
+    let mut discarding = std::pin::pin!(discarding);
+    let started = clock::now();
+    let ended = loop {
+        let ended = time::timeout(LINGER_TIME, discarding.as_mut()).await;
+        let has_time = clock::now().saturating_duration_since(started) < MAX_LINGER_TIME;
+        if ended.is_ok() || !has_time || !has_unacknowledged(stream) {
+            break ended;
+        }
+    };
     if unread_bytes > 0 {
         event!(
             Info,
@@ -317,6 +328,14 @@
     }
 }
 
+/// Whether the caller's host has not acknowledged all bytes, as far as the kernel tells.
+fn has_unacknowledged(stream: &TcpStream) -> bool {
+    let (Ok(local), Ok(peer)) = (stream.local_addr(), stream.peer_addr()) else {
+        return false;
+    };
+    inspection::queue(local, peer).is_some_and(|queue| queue.unacknowledged > 0)
+}
+
 /// Logs what a connection had in hand when the process ended it.
 fn report_cut_off(stage: Stage) {
     if stage != Stage::Idle {
--- a/crates/entry/src/front/listener.rs
+++ b/crates/entry/src/front/listener.rs
@@ -81,9 +81,6 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Err(cause) = channel::set_socket_options(&stream) {
-                    event!(Debug, "socket_options_failed", reason = cause);
-                }
                 on_connection(stream);
             }
             Err(cause) => {
@@ -117,6 +114,9 @@
 
 /// Answers health checks: 200 if this host accepts new connections, otherwise 503.
 async fn serve_balancer(stream: TcpStream, state: Arc<State>) {
+    if let Err(cause) = channel::set_socket_options(&stream) {
+        event!(Debug, "socket_options_failed", reason = cause);
+    }
     let service = service_fn(move |_: Request<Incoming>| {
         let status = match state.ready() {
             Ok(()) => StatusCode::OK,
--- a/crates/entry/src/front/socket.rs
+++ b/crates/entry/src/front/socket.rs
@@ -2,7 +2,7 @@
 
 use {
     jayspread_core::connection::{Connection, Limits, Stage},
-    jayspread_net::{clock, sync::lock},
+    jayspread_net::{caller, clock, sync::lock},
     std::{
         io::{self, IoSlice},
         pin::Pin,
@@ -90,96 +90,74 @@
     }
 }
 
-/// A socket that records its progress. It shares the stream with the task that closes it.
+/// A socket that records its progress.
 pub struct Socket {
-    stream: Arc<TcpStream>,
+    connection: caller::Connection,
     progress: Arc<Progress>,
 }
 
 impl Socket {
-    /// Wraps a stream.
+    /// Wraps a stream, which is shared with the task that closes it.
     pub fn new(stream: &Arc<TcpStream>, progress: &Arc<Progress>) -> Self {
         Self {
-            stream: Arc::clone(stream),
+            connection: caller::Connection::new(Arc::clone(stream)),
             progress: Arc::clone(progress),
         }
     }
 
-    fn poll_send(
-        &self,
-        context: &mut Context<'_>,
-        send: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match send(&self.stream) {
-                Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
-                sent => return Poll::Ready(sent),
-            }
-        }
+    fn connection(&mut self) -> Pin<&mut caller::Connection> {
+        Pin::new(&mut self.connection)
     }
 }
 
 impl AsyncRead for Socket {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(buffer.initialize_unfilled()) {
-                Ok(count) => {
-                    buffer.advance(count);
-                    if count > 0 && self.progress.stage() == Stage::Idle {
-                        self.progress.update(Connection::receive);
-                        self.progress.head_begun.notify_one();
-                    }
-                    return Poll::Ready(Ok(()));
-                }
-                Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
-                Err(cause) => return Poll::Ready(Err(cause)),
-            }
+        let filled = buffer.filled().len();
+        ready!(self.connection().poll_read(context, buffer))?;
+        if buffer.filled().len() > filled && self.progress.stage() == Stage::Idle {
+            self.progress.update(Connection::receive);
+            self.progress.head_begun.notify_one();
         }
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Socket {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.poll_send(context, |stream| stream.try_write(bytes))
+        self.connection().poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_send(context, |stream| stream.try_write_vectored(slices))
+        self.connection().poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        true
+        self.connection.is_write_vectored()
     }
 
     /// Called when no byte is left in the buffer above this socket.
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.connection().poll_flush(context))?;
         if self.progress.stage() == Stage::Answer {
             self.progress.update(Connection::flush);
         }
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.progress.close();
-        Poll::Ready(shut_down(&self.stream))
+        self.connection().poll_shutdown(context)
     }
 }
-
-/// Ends the sending direction of a stream.
-pub fn shut_down(stream: &TcpStream) -> io::Result<()> {
-    socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
-}
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -2,7 +2,7 @@
 //!
 //! Lock order: `mirrors`, `catalog`, `stranded`, `targets`, `retry_budgets`, `longest_timeouts`,
 //! `saturated_at`, `engines`, `quarantine`, `roster`, `peers`, `agents`, `peak_hosts`, `pool`,
-//! `pending_news`, `passed_on`. A task holds at most two locks, taken in this order, and none across an await.
+//! `pending_news`, `passed_on`, `backlog`. A task holds at most two locks, taken in this order, and none across an await.
 
 use {
     crate::{
@@ -10,6 +10,7 @@
         shared::lock,
     },
     jayspread_core::{
+        backlog::Backlog,
         catalog::{Catalog, Route},
         engine::{Engine, Place},
         id::{Host, Service},
@@ -195,6 +196,8 @@
     pub in_flight: AtomicUsize,
     /// Number of callers' connections that have something in hand.
     pub in_hand: Arc<AtomicUsize>,
+    /// Answers that callers have not taken yet.
+    pub backlog: Mutex<Backlog>,
     dropped_lines: ErrorCounter,
 }
 
@@ -241,6 +244,7 @@
             has_engine_list: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             in_hand: Arc::default(),
+            backlog: Mutex::new(Backlog::new(settings.memory_bytes, now)),
             dropped_lines,
             settings,
         })
@@ -463,6 +467,7 @@
             "reporting_agents": reporting_agents,
             "store_topics_lost": self.failing_topics.load(Ordering::Relaxed),
             "in_flight": self.in_flight.load(Ordering::Relaxed),
+            "held_bytes": lock(&self.backlog).held(),
         })
     }
 
