--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -296,23 +296,10 @@
 /// response.
 async fn linger(stream: &TcpStream, progress: &Progress) {
     progress.close();
-    let mut buffer = [0; LINGER_BUFFER_BYTES];
     let mut unread_bytes = 0;
-    let discarding = async {
-        loop {
-            stream.readable().await?;
-            match stream.try_read(&mut buffer) {
-                Ok(0) => return Ok::<_, io::Error>(()),
-                Ok(count) => unread_bytes += count,
-                Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
-                Err(cause) => return Err(cause),
-            }
-        }
-    };
-    let mut discarding = std::pin::pin!(discarding);
     let started = clock::now();
     let ended = loop {
-        let ended = time::timeout(LINGER_TIME, discarding.as_mut()).await;
+        let ended = time::timeout(LINGER_TIME, discard(stream, &mut unread_bytes)).await;
         let has_time = clock::now().saturating_duration_since(started) < MAX_LINGER_TIME;
         if ended.is_ok() || !has_time || !has_unacknowledged(stream) {
             break ended;
@@ -328,6 +315,20 @@
     }
 }
 
+/// Reads and counts what the caller sends until it closes the connection.
+async fn discard(stream: &TcpStream, unread_bytes: &mut usize) -> io::Result<()> {
+    let mut buffer = [0; LINGER_BUFFER_BYTES];
+    loop {
+        stream.readable().await?;
+        match stream.try_read(&mut buffer) {
+            Ok(0) => return Ok(()),
+            Ok(count) => *unread_bytes += count,
+            Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
+            Err(cause) => return Err(cause),
+        }
+    }
+}
+
 /// Whether the caller's host has not acknowledged all bytes, as far as the kernel tells.
 fn has_unacknowledged(stream: &TcpStream) -> bool {
     let (Ok(local), Ok(peer)) = (stream.local_addr(), stream.peer_addr()) else {
