Read-through: what a stopping host may do for a request is a file of its own

front::stopping holds the questions that an exchange asks of the shutdown; the loop that serves a connection is named for that, since an exchange is one request.

--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -141,7 +141,7 @@
     let stream = Arc::new(stream);
     let progress = Progress::new(Arc::clone(&settings.in_hand));
     let mut shutdown = settings.shutdown.clone();
-    let end = exchange(&stream, &progress, settings, handler).await;
+    let end = serve_requests(&stream, &progress, settings, handler).await;
     let closing = async {
         match end {
             // An aborted response leaves the sending direction open.
@@ -160,7 +160,7 @@
     }
 }
 
-/// How the exchange of requests and responses on a connection ended.
+/// Why no more requests are served on a connection.
 enum End {
     /// Both directions, or the sending one, are closed.
     Closed,
@@ -172,7 +172,8 @@
     Stopping,
 }
 
-async fn exchange<T, H, F>(
+/// Serves requests until the connection is closed or must be.
+async fn serve_requests<T, H, F>(
     stream: &Arc<TcpStream>,
     progress: &Arc<Progress>,
     settings: Settings<T>,
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -198,11 +198,7 @@
         if self.remaining() < MIN_REMAINING {
             return Err(self.deadline_problem());
         }
-        let step = if self.call.sends() == 0 {
-            Step::Begin
-        } else {
-            Step::Repeat
-        };
+        let step = self.next_step();
         if !self.is_allowed(step) {
             return Err(self.stopping_problem());
         }
@@ -218,12 +214,6 @@
         Ok(self.send(&choice, CallEvent::Send))
     }
 
-    /// Whether this host, if it is stopping, may still take a step of the request.
-    fn is_allowed(&self, step: Step) -> bool {
-        let need = self.route.latency_target.min(self.remaining());
-        self.state.allows(step, need)
-    }
-
     /// Logs what the choice of an engine was based on.
     fn trace_send(&mut self, choice: &Choice) {
         self.trace_event(
@@ -469,14 +459,6 @@
         Problem::gateway_timeout()
     }
 
-    /// Problem of a request that this stopping host does not answer any more.
-    pub fn stopping_problem(&self) -> Problem {
-        if self.call.not_run() {
-            return Problem::stopping();
-        }
-        Problem::bad_gateway("stopping")
-    }
-
     fn refusal_problem(&self, refusal: Refusal) -> Problem {
         if self.call.not_run() {
             return Problem::unavailable(refusal.reason(), refusal.retry_after());
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -30,6 +30,7 @@
 mod retries;
 pub mod socket;
 mod state;
+mod stopping;
 mod stream;
 mod trace;
 mod upstream;
