A caller that was given up is reset at once

Traced by its log: the caller is given up at 30.6 s as it must be (caller_given_up reason=stands_still, 131,072 bytes unacknowledged), but the connection was not dropped: since the merge of slow readers with the connections that linger after their end, the task that closes the stream held it for up to 30 s more, while bytes were unacknowledged. A connection whose socket failed is dropped at once now.

--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -146,6 +146,7 @@
         match end {
             // An aborted response leaves the sending direction open.
             End::Closed => shut_down(&stream),
+            End::Failed => return,
             End::CutOff => return report_cut_off(progress.stage()),
             End::HeadTooSlow => refuse(&stream, HEAD_TOO_SLOW, "head_too_slow"),
             End::Stopping => refuse(&stream, STOPPING, "stopping"),
@@ -164,6 +165,8 @@
 enum End {
     /// Both directions, or the sending one, are closed.
     Closed,
+    /// The socket failed, or its peer was given up: nothing more can be sent or read.
+    Failed,
     /// The process exits.
     CutOff,
     /// The caller took too long to send a head.
@@ -240,6 +243,9 @@
             result = connection.as_mut() => {
                 if let Err(cause) = result {
                     report_end(&cause, in_flight.load(Ordering::Acquire), &ending);
+                    if is_socket_error(&cause) {
+                        return End::Failed;
+                    }
                 }
                 return End::Closed;
             }
@@ -364,6 +370,12 @@
     }
 }
 
+fn is_socket_error(cause: &Error) -> bool {
+    cause
+        .source()
+        .is_some_and(|source| source.is::<io::Error>())
+}
+
 /// An error with its causes.
 struct Chain<'a>(&'a Error);
 
