--- a/crates/core/src/fetch.rs
+++ b/crates/core/src/fetch.rs
@@ -3,9 +3,9 @@
 //! The newest version is fetched first. The target, which the engine loads next, may be an older one
 //! that came first or whose pieces are easier to get. Every fetch ends: with all pieces, once its
 //! version can't be had any more or isn't needed, when pieces contradict its manifest, or after a time
-//! without a new piece. No fetch of an
-//! older version keeps the newest from beginning for longer than `PRIORITY_LIMIT` without a new
-//! piece, and a target of which pieces are missing gives way once the newest version is complete.
+//! without a new piece. No fetch of an older version keeps the newest from beginning for longer than
+//! `PRIORITY_LIMIT` without a new piece, and a target of which pieces are missing gives way once the
+//! newest version is complete.
 
 use {
     crate::{chunk::Source, id::ChunkHash, progress::Tracker, target::Target},
