Memory for answers is reserved on arrival, so that a burst cannot use it up

Callers could see: a host that lets in sixty requests with large answers before the first has arrived holds all of them, however much memory it has; a process that is ended for that loses all requests in hand without an answer or a refusal.

Cause: the bound on answers that callers have not taken counted an answer from the moment at which it was whole. Requests in progress counted as nothing.

Ruled out: refusing at the time of the answer, which an engine has then run; a bound on connections or requests, which says nothing about bytes.

Change: core::backlog keeps the size of the largest recent answer of each route and reserves it for each request on arrival; a request whose answer would not fit beside what is held and reserved is refused before its body is read, with the time after which it will fit. Any request is let in while nothing is held. The check moved behind those of the route and the key, whose errors no retry mends. While a link carries L bytes a second, requests that take T seconds need L times T bytes at most, so that callers who read at the link's rate are not refused for it unless the limit is below that.

Not covered: the first answers of a route within a period, whose size nobody knows, and bodies of requests.

--- a/crates/core/src/backlog.rs
+++ b/crates/core/src/backlog.rs
@@ -1,24 +1,38 @@
 //! Bound on the memory that is held for answers which callers have not taken yet.
 //!
-//! What is held is never given up for it: while more than the limit is held, new requests are refused.
+//! What is held is never given up for it: a request is refused on arrival if its answer might not fit
+//! beside those held and those expected for the requests in progress. An answer is expected to be as
+//! large as the largest recent one of its route.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    mem,
+    time::{Duration, Instant},
+};
 
 /// Share of the memory of a process that answers may take, percent.
 const MEMORY_PERCENT: u64 = 30;
 /// Period over which released bytes are counted; the counts of two periods give the rate.
 const RATE_PERIOD: Duration = Duration::from_secs(4);
+/// Period over which the sizes of answers are collected; those of two periods count.
+const SIZE_PERIOD: Duration = Duration::from_secs(30);
 /// Bounds of the time for which a refused caller is told to wait.
 const MIN_WAIT: Duration = Duration::from_millis(100);
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
-/// Counts the bytes of answers that are held.
-#[derive(Debug, Clone, Copy)]
+/// Counts the bytes of answers that are held or expected.
+#[derive(Debug, Clone)]
 pub struct Backlog {
     /// Number of bytes above which requests are refused.
     limit: u64,
     /// Number of bytes held.
     held: u64,
+    /// Number of bytes reserved for the answers of requests in progress.
+    reserved: u64,
+    /// Size of the largest answer of each route in the current period and in the one before, bytes.
+    sizes: [BTreeMap<Box<str>, u64>; 2],
+    /// Beginning of the current period of sizes.
+    sizes_start: Instant,
     /// Number of bytes released in the current period and in the one before.
     released: [u64; 2],
     /// Beginning of the current period.
@@ -31,6 +45,9 @@
         Self {
             limit: (memory_bytes / 100).saturating_mul(MEMORY_PERCENT),
             held: 0,
+            reserved: 0,
+            sizes: [BTreeMap::new(), BTreeMap::new()],
+            sizes_start: now,
             released: [0; 2],
             period_start: now,
         }
@@ -54,15 +71,69 @@
         self.released[0] += bytes;
     }
 
-    /// Whether a new request is refused; returns the time after which less than the limit will be
-    /// held if answers are taken at the rate of the last seconds.
-    pub fn refusal(&mut self, now: Instant) -> Option<Duration> {
-        let excess = self.held.checked_sub(self.limit)?;
+    /// Number of bytes reserved.
+    pub fn reserved(&self) -> u64 {
+        self.reserved
+    }
+
+    /// Records the size of an answer of a route.
+    pub fn record(&mut self, route: &str, bytes: u64, now: Instant) {
+        self.turn_sizes(now);
+        match self.sizes[0].get_mut(route) {
+            Some(largest) => *largest = bytes.max(*largest),
+            None => {
+                self.sizes[0].insert(route.into(), bytes);
+            }
+        }
+    }
+
+    /// Reserves memory for the answer of a new request; returns the number of bytes, to be given back
+    /// with `cancel` when the answer is held or will not come. Any request is let in while nothing is
+    /// held or reserved.
+    ///
+    /// # Errors
+    ///
+    /// The time after which the answer will fit if answers are taken at the rate of the last seconds.
+    pub fn reserve(&mut self, route: &str, now: Instant) -> Result<u64, Duration> {
+        self.turn_sizes(now);
+        let sizes = self.sizes.iter().filter_map(|sizes| sizes.get(route));
+        let expected = sizes.max().copied().unwrap_or(0);
+        let used = self.held + self.reserved;
+        if used < self.limit && (used == 0 || used + expected <= self.limit) {
+            self.reserved += expected;
+            return Ok(expected);
+        }
         self.turn(now);
+        let excess = (used + expected).saturating_sub(self.limit);
         let elapsed = RATE_PERIOD + now.saturating_duration_since(self.period_start);
         let rate = (self.released[0] + self.released[1]) as f64 / elapsed.as_secs_f64();
         let wait = Duration::try_from_secs_f64(excess as f64 / rate).unwrap_or(MAX_WAIT);
-        Some(wait.clamp(MIN_WAIT, MAX_WAIT))
+        Err(wait.clamp(MIN_WAIT, MAX_WAIT))
+    }
+
+    /// Gives back what `reserve` returned.
+    pub fn cancel(&mut self, bytes: u64) {
+        assert!(
+            bytes <= self.reserved,
+            "{bytes} of {} given back",
+            self.reserved
+        );
+        self.reserved -= bytes;
+    }
+
+    /// Begins a new period of sizes if the current one is over.
+    fn turn_sizes(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.sizes_start);
+        if elapsed < SIZE_PERIOD {
+            return;
+        }
+        let previous = mem::take(&mut self.sizes[0]);
+        self.sizes[1] = if elapsed < 2 * SIZE_PERIOD {
+            previous
+        } else {
+            BTreeMap::new()
+        };
+        self.sizes_start = now;
     }
 
     /// Begins a new period if the current one is over.
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -6,6 +6,7 @@
             attempt::Subject,
             connection::Ending,
             flight::{self, Answer, Flight, Flights},
+            held::Room,
             problem::Problem,
             state::State,
             stream::Expected,
@@ -101,6 +102,9 @@
     pub is_caller_retry: bool,
     /// Log lines of the request; taken when it ends.
     pub trace: Option<Trace>,
+    /// Memory reserved for the answer, until the body of the answer is held.
+    #[expect(dead_code, reason = "gives the memory back when dropped")]
+    pub room: Room,
 }
 
 impl Drop for Exchange {
--- a/crates/entry/src/front/held.rs
+++ b/crates/entry/src/front/held.rs
@@ -1,12 +1,39 @@
-//! Answers that are held until their callers have taken them.
+//! Answers that are held until their callers have taken them, and the memory reserved for them.
 
 use {
     crate::{front::state::State, shared::lock},
     bytes::Bytes,
     jayspread_net::clock,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
+/// Memory reserved for the answer of a request in progress; given back when dropped.
+pub struct Room {
+    bytes: u64,
+    state: Arc<State>,
+}
+
+impl Room {
+    /// Reserves memory for the answer of a request on a route.
+    ///
+    /// # Errors
+    ///
+    /// The time after which the caller may try again.
+    pub fn reserve(state: &Arc<State>, route: &str) -> Result<Self, Duration> {
+        let bytes = lock(&state.backlog).reserve(route, clock::now())?;
+        Ok(Self {
+            bytes,
+            state: Arc::clone(state),
+        })
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        lock(&self.state.backlog).cancel(self.bytes);
+    }
+}
+
 /// Whole body of an answer, counted as held until the last reference to its bytes is dropped.
 struct Held {
     body: Bytes,
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -6,6 +6,7 @@
             body::Body,
             exchange::Exchange,
             flight::{Answer, Flights, build_response},
+            held::Room,
             problem::{PANIC_RETRY_AFTER, Problem},
             state::State,
             stream::Stream,
@@ -16,7 +17,7 @@
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode, header, request::Parts},
-    hyper::body::Incoming,
+    hyper::body::{Body as _, Incoming},
     jayspread_core::{
         call::Call,
         catalog::{Catalog, Organisation, Route},
@@ -108,6 +109,7 @@
         request,
         route,
         organisation,
+        room,
     } = admitted;
     let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
@@ -163,6 +165,7 @@
         is_probe: false,
         is_caller_retry,
         trace: Some(trace),
+        room,
     })
 }
 
@@ -172,11 +175,12 @@
     request: wire::Request,
     route: Arc<Route>,
     organisation: Option<Arc<Organisation>>,
+    room: Room,
 }
 
 /// Validates the head of a request.
 fn admit(
-    state: &State,
+    state: &Arc<State>,
     parts: &Parts,
     request: Option<wire::Request>,
 ) -> Result<Admitted, Problem> {
@@ -186,9 +190,6 @@
     let Some(catalog) = state.catalog() else {
         return Err(Problem::unavailable("starting", STARTUP_RETRY_AFTER));
     };
-    if let Some(wait) = lock(&state.backlog).refusal(clock::now()) {
-        return Err(Problem::unavailable("slow_readers", wait));
-    }
     let Some(request) = request else {
         return Err(Problem::rejected(StatusCode::BAD_REQUEST, "no_request_id"));
     };
@@ -207,11 +208,14 @@
     if !state.allows(Step::Begin, need) {
         return Err(Problem::stopping());
     }
+    let room = Room::reserve(state, &route.name)
+        .map_err(|wait| Problem::unavailable("slow_readers", wait))?;
     Ok(Admitted {
         catalog,
         request,
         route,
         organisation,
+        room,
     })
 }
 
@@ -257,6 +261,9 @@
             Ok(Ok((engine, Answer::Whole(response)))) => {
                 let elapsed = self.elapsed();
                 self.state.metrics.first_byte.observe(elapsed.as_secs_f64());
+                if let Some(bytes) = response.body().size_hint().exact() {
+                    lock(&self.state.backlog).record(&self.route.name, bytes, clock::now());
+                }
                 let (status, took) = (response.status().as_u16(), elapsed.as_millis());
                 self.complete(
                     "answered",
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -468,6 +468,7 @@
             "store_topics_lost": self.failing_topics.load(Ordering::Relaxed),
             "in_flight": self.in_flight.load(Ordering::Relaxed),
             "held_bytes": lock(&self.backlog).held(),
+            "reserved_bytes": lock(&self.backlog).reserved(),
         })
     }
 
