A fetch does not wait for the origin while other hosts hold its piece

What users could see: an engine stays on its old version, and the fetch of the new one stalls and starts again every 10 s. It takes the only live agent of a data centre in the origin's region, an origin that is away or answers 410, and one missing piece that all other hosts hold. The fetch does not end as gone either, since the piece is held.

Cause: the leader of a piece asks the origin before any other source, and remembered failures of holders only. The last missing piece was always on its way from the origin, and the takeover was never reached. In the same way one bad piece of the origin was asked for again and again, before all others.

Ruled out: a takeover that is due too late.

Change: a failure of the origin counts for a piece for REJECTION_TIME. Meanwhile the piece comes from any holder at once. If there is none, the origin is asked again, after all other pieces, so that an origin that was away for a moment delays nothing; but not for a piece of which it sent other bytes twice in that time, as its link would carry each of them.

--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -16,7 +16,7 @@
         chunk::{Peer, Plan, Policy, Source, Step},
         fetch::{Doubt, End, Supply},
         id::{ChunkHash, Host},
-        spread::{self, Fetch, Holder, Scheduler},
+        spread::{self, Fetch, Holder, OriginFailure, Scheduler},
     },
     jayspread_net::{clock, event},
     jayspread_platform::{
@@ -120,6 +120,35 @@
     End::Complete
 }
 
+/// Has the scheduler prefer other sources of a piece to one that failed to send it.
+fn reject_source(
+    scheduler: &mut Scheduler,
+    piece: usize,
+    source: &Source,
+    received: Received,
+    elapsed: Duration,
+) {
+    match (source, received) {
+        (Source::Peer(host), Received::Corrupt(_) | Received::Missing) => {
+            event!(
+                Info,
+                "holder_rejected",
+                peer = host,
+                index = piece,
+                missing = matches!(received, Received::Missing)
+            );
+            scheduler.reject(piece, host, elapsed);
+        }
+        (Source::Origin, Received::Corrupt(_)) => {
+            scheduler.reject_origin(piece, OriginFailure::Corrupt, elapsed);
+        }
+        (Source::Origin, Received::Missing | Received::Nothing) => {
+            scheduler.reject_origin(piece, OriginFailure::Nothing, elapsed);
+        }
+        (Source::Peer(_), Received::Nothing) | (_, Received::Busy | Received::Stored) => {}
+    }
+}
+
 /// Obtains the manifest from memory, the origin or another agent, retrying until it succeeds or the
 /// version is gone.
 async fn obtain_manifest(
@@ -275,20 +304,8 @@
                 Some(finished) = requests.join_next() => match finished {
                     Ok((Fetch { piece, source }, received)) => {
                         scheduler.finish_fetch(piece);
-                        if let Source::Peer(host) = &source
-                            && matches!(received, Received::Corrupt(_) | Received::Missing)
-                        {
-                            event!(
-                                Info,
-                                "holder_rejected",
-                                peer = host,
-                                index = piece,
-                                missing = matches!(received, Received::Missing)
-                            );
-                            let now = clock::now();
-                            let elapsed = now.saturating_duration_since(takeover_start);
-                            scheduler.reject(piece, host, elapsed);
-                        }
+                        let elapsed = clock::now().saturating_duration_since(takeover_start);
+                        reject_source(&mut scheduler, piece, &source, received, elapsed);
                         if let Received::Corrupt(digest) = received
                             && doubt.record(piece, &source, digest)
                         {
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -4,7 +4,7 @@
 //! centre, hosts fetch the rarest pieces first from any local holder. A host fetches at most one
 //! piece at a time from each source, so that transfers stay short on links that also carry
 //! requests. If a leader does not fetch its piece in time, the other hosts fetch it from any
-//! holder.
+//! holder. A piece that the origin did not send comes from any holder at once.
 
 use {
     crate::{
@@ -35,7 +35,8 @@
 /// take over at the same time.
 const MAX_STAGGER: Duration = Duration::from_millis(1_500);
 
-/// Time for which a piece is not fetched again from a holder that lacks it, or sent other bytes.
+/// Time for which a piece is not fetched again from a holder that lacks it, or sent other bytes, or
+/// from an origin that did not send it while there are holders.
 pub const REJECTION_TIME: Duration = Duration::from_millis(3_000);
 
 /// Maximum number of reports that one host sends to a group of hosts per second, summed over the
@@ -112,6 +113,24 @@
     pub source: Source,
 }
 
+/// Failure of a request for a piece to the origin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginFailure {
+    /// The origin did not send the piece.
+    Nothing,
+    /// The origin sent other bytes.
+    Corrupt,
+}
+
+/// Whether the origin is asked for a piece after a failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Caution {
+    /// After the other pieces, and only if there is no holder.
+    LastResort,
+    /// Not at all: it sent other bytes again, and its link is not to carry them each time.
+    Closed,
+}
+
 /// Download scheduler of one host for one version.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -124,6 +143,8 @@
     /// Holders that don't have what they report, by piece, and the elapsed time until which they are
     /// left out.
     rejected: BTreeMap<(usize, Host), Duration>,
+    /// Pieces that the origin failed to send, and the elapsed time until which this counts.
+    origin_failures: BTreeMap<usize, (Caution, Duration)>,
     /// Share of `MAX_STAGGER` that this host adds to the takeover delays, from 0 to 1.
     stagger: f64,
 }
@@ -143,6 +164,7 @@
             held_pieces: BTreeSet::new(),
             in_progress: BTreeMap::new(),
             rejected: BTreeMap::new(),
+            origin_failures: BTreeMap::new(),
             stagger,
         }
     }
@@ -180,6 +202,18 @@
         self.rejected.insert((piece, host.clone()), until);
     }
 
+    /// Records that the origin failed to send a piece, `elapsed` after the version was announced. The
+    /// piece comes from any holder for a time. If there is none, the origin is asked again.
+    pub fn reject_origin(&mut self, piece: usize, failure: OriginFailure, elapsed: Duration) {
+        let is_repeated = self.origin_failures.contains_key(&piece);
+        let caution = match failure {
+            OriginFailure::Corrupt if is_repeated => Caution::Closed,
+            OriginFailure::Corrupt | OriginFailure::Nothing => Caution::LastResort,
+        };
+        let until = elapsed + REJECTION_TIME;
+        self.origin_failures.insert(piece, (caution, until));
+    }
+
     /// Chooses the next download and records it as in progress; `None` if there is none to start.
     /// `elapsed` is the time since the version was announced.
     pub fn next_fetch(
@@ -192,6 +226,8 @@
             return None;
         }
         self.rejected.retain(|_, until| elapsed < *until);
+        self.origin_failures
+            .retain(|_, (_, until)| elapsed < *until);
         let accepted;
         let holders = if self.rejected.is_empty() {
             holders
@@ -238,6 +274,11 @@
         self.rejected.keys().any(|(rejected, _)| *rejected == piece)
     }
 
+    fn origin_caution(&self, piece: usize) -> Option<Caution> {
+        let failure = self.origin_failures.get(&piece);
+        failure.map(|(caution, _)| *caution)
+    }
+
     fn same_data_centre(&self, holder: &Holder) -> bool {
         *holder.data_centre == *self.data_centre
     }
@@ -264,9 +305,19 @@
                 .filter(|holder| self.same_data_centre(holder));
             local.any(|holder| holder.pieces.contains(piece))
         };
+        let is_eligible = |piece: &usize| {
+            self.tiers[*piece] == Tier::Origin
+                && !held_locally(piece)
+                && match self.origin_caution(*piece) {
+                    None => true,
+                    Some(Caution::LastResort) => is_held_nowhere(holders, *piece),
+                    Some(Caution::Closed) => false,
+                }
+        };
         let piece = self
             .missing()
-            .find(|piece| self.tiers[*piece] == Tier::Origin && !held_locally(piece))?;
+            .filter(is_eligible)
+            .min_by_key(|piece| self.origin_caution(*piece).is_some())?;
         Some(Fetch {
             piece,
             source: Source::Origin,
@@ -274,7 +325,8 @@
     }
 
     /// Selects a piece that this host fetches as its leader from a holder outside the region or
-    /// data centre. After the takeover delay, selects any missing piece from any holder.
+    /// data centre. After the takeover delay, or if the origin did not send the piece, selects any
+    /// missing piece from any holder.
     fn select_remote(
         &self,
         holders: &BTreeMap<Host, Holder>,
@@ -290,6 +342,7 @@
         let mut candidates = Vec::new();
         for piece in self.missing() {
             let tier = self.tiers[piece];
+            let take_over = take_over || self.origin_caution(piece).is_some();
             for (host, holder) in holders {
                 let eligible = take_over || is_remote(holder, tier);
                 if eligible && holder.pieces.contains(&piece) && !self.is_source_in_use(host) {
@@ -347,13 +400,12 @@
         if !self.can_use_origin() {
             return None;
         }
-        let held_nowhere = |piece: &usize| {
+        let is_eligible = |piece: &usize| {
             (takeover_due || self.is_rejected(*piece))
-                && holders
-                    .values()
-                    .all(|holder| !holder.pieces.contains(piece))
+                && self.origin_caution(*piece) != Some(Caution::Closed)
+                && is_held_nowhere(holders, *piece)
         };
-        let unheld: Vec<usize> = self.missing().filter(held_nowhere).collect();
+        let unheld: Vec<usize> = self.missing().filter(is_eligible).collect();
         if unheld.is_empty() {
             return None;
         }
@@ -364,6 +416,11 @@
     }
 }
 
+fn is_held_nowhere(holders: &BTreeMap<Host, Holder>, piece: usize) -> bool {
+    let mut pieces = holders.values().map(|holder| &holder.pieces);
+    pieces.all(|pieces| !pieces.contains(&piece))
+}
+
 fn choose(candidates: &[(usize, &Host)], rng: &mut impl Rng) -> Option<Fetch> {
     if candidates.is_empty() {
         return None;
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -6,8 +6,11 @@
     distribution::{PIECES, peers, steps},
     jayspread_core::{
         chunk::{Peer, Source, Step, Tier},
+        fetch::STALL_LIMIT,
         id::{Host, Region},
-        spread::{self, Holder, MAX_DOWNLOADS, REJECTION_TIME, Scheduler, report_sources},
+        spread::{
+            self, Holder, MAX_DOWNLOADS, OriginFailure, REJECTION_TIME, Scheduler, report_sources,
+        },
     },
     proptest::prelude::*,
     rand::{SeedableRng, rngs::StdRng},
@@ -35,6 +38,8 @@
     origin_requests: usize,
     failed_hosts: BTreeSet<Host>,
     origin_up: bool,
+    /// Pieces of which the origin sends other bytes.
+    spoilt: BTreeSet<usize>,
 }
 
 impl Fleet {
@@ -48,6 +53,7 @@
             origin_requests: 0,
             failed_hosts: BTreeSet::new(),
             origin_up: true,
+            spoilt: BTreeSet::new(),
         };
         for (number, peer) in peers.iter().enumerate() {
             let steps = steps(peer, &peers);
@@ -86,8 +92,20 @@
                 .get_mut(&host)
                 .expect("every host has an entry");
             scheduler.finish_fetch(piece);
+            let failure = match self.origin_up {
+                false => Some(OriginFailure::Nothing),
+                true => self
+                    .spoilt
+                    .contains(&piece)
+                    .then_some(OriginFailure::Corrupt),
+            };
+            if source == Source::Origin
+                && let Some(failure) = failure
+            {
+                scheduler.reject_origin(piece, failure, STEP * now as u32);
+            }
             let source_available = match &source {
-                Source::Origin => self.origin_up,
+                Source::Origin => failure.is_none(),
                 Source::Peer(peer) => !self.failed_hosts.contains(peer),
             };
             if source_available {
@@ -203,6 +221,41 @@
     assert!(fleet.is_complete());
 }
 
+/// Guards against a leader that asks an origin in vain for its last missing piece until the fetch
+/// stalls, although hosts of other data centres hold it.
+#[test]
+fn leader_fetches_from_other_data_centres_what_the_origin_does_not_send() {
+    let mut fleet = Fleet::new(3);
+    fleet.origin_up = false;
+    for host in ["host-1", "host-2"].map(Host::from) {
+        let scheduler = fleet.schedulers.get_mut(&host).expect("in the fleet");
+        (0..PIECES).for_each(|piece| scheduler.mark_held(piece));
+        let holder = fleet.holders.get_mut(&host).expect("in the fleet");
+        holder.pieces = (0..PIECES).collect();
+    }
+    let limit = STALL_LIMIT.as_millis() / STEP.as_millis();
+    assert_ne!(fleet.run(limit as u64, 5), None, "{:?}", fleet.schedulers);
+}
+
+/// Guards against a leader that asks for one bad piece of the origin again and again: the others come
+/// late, and the origin's link carries more than four copies.
+#[test]
+fn bad_piece_of_the_origin_keeps_no_other_from_being_fetched() {
+    let mut fleet = Fleet::new(3);
+    fleet.spoilt.insert(0);
+    let mut rng = StdRng::seed_from_u64(6);
+    let others = 1..PIECES;
+    let in_time = 2 * PIECES as u64 * TRANSFER_STEPS;
+    (0..in_time).for_each(|now| fleet.step(now, &mut rng));
+    for (host, holder) in &fleet.holders {
+        assert!(holder.pieces.iter().copied().eq(others.clone()), "{host}");
+    }
+    let limit = (STALL_LIMIT.as_millis() / STEP.as_millis()) as u64;
+    (in_time..limit).for_each(|now| fleet.step(now, &mut rng));
+    let requests = fleet.origin_requests;
+    assert!(requests <= 4 * PIECES, "{requests} pieces requested");
+}
+
 /// A host that joins a fleet which holds all pieces must not fetch from the origin.
 #[test]
 fn joining_host_fetches_only_from_peers() {
