A version of any size can be checked before its load order

What users could see: a version of some thousands of pieces, or one that is read or hashed slowly, is never loaded. Its engine is closed for three checks, everything is staged again, and this repeats.

Cause: the check of the staged pieces had 2 s from its start to the order, meant for an agent that stood still. The check reads one piece after the other and exceeds that by its size alone.

Ruled out: a longer limit, which fails at a larger size and lets an order pass after a pause.

Change: the longest time between two pieces of the check, or since the last, is judged in place of the total. `check_outdated` states the time without a step.

A load of a large version was not run.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -7,7 +7,7 @@
     },
     jayspread_core::{
         fetch::{self as policy, Count, End, Lane, Selector, View},
-        load::{self, Action, Event, Loader, Machine, Report},
+        load::{self, Action, Check, Event, Loader, Machine, Report},
         schedule::Turn,
         target::Target,
     },
@@ -353,27 +353,26 @@
     /// Verifies the staged pieces, again if this process stood still meanwhile.
     async fn verify_recently(&mut self, version: u64) -> bool {
         for _ in 0..MAX_CHECKS {
-            let started_at = clock::now();
-            if !self.verify(version).await {
+            let mut check = Check::new(clock::now());
+            if !self.verify(version, &mut check).await {
                 return false;
             }
             let now = clock::now();
-            if load::is_check_recent(started_at, now) {
+            if check.is_recent(now) {
                 return true;
             }
-            let took = now.saturating_duration_since(started_at);
             event!(
                 Warn,
                 "check_outdated",
                 version = version,
-                took_ms = took.as_millis()
+                stood_still_ms = check.longest_gap(now).as_millis()
             );
         }
         false
     }
 
     /// Reads all staged pieces back and replaces missing or corrupt ones.
-    async fn verify(&mut self, version: u64) -> bool {
+    async fn verify(&mut self, version: u64, check: &mut Check) -> bool {
         let (Some(source), Some(manifest)) = (
             self.shared.weight_source(),
             lock(&self.shared.pieces).manifest(version),
@@ -381,6 +380,7 @@
             return false;
         };
         for (index, expected) in manifest.digests.iter().enumerate() {
+            check.step(clock::now());
             let staged = self.client.staged_piece(&source.model, index).await;
             let valid = match &staged {
                 Ok(Some(bytes)) => sha256(bytes) == *expected,
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -21,13 +21,43 @@
 /// Minimum time between two orders.
 const MIN_ORDER_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Longest time from the start of the check of the staged pieces until the load order: pieces may turn
-/// bad at the engine at any time.
-const MAX_CHECK_AGE: Duration = Duration::from_secs(2);
+/// Longest time between two steps of the check of the staged pieces, and from the last one until the
+/// load order: pieces may turn bad at the engine while the agent stands still.
+const MAX_CHECK_GAP: Duration = Duration::from_secs(2);
+
+/// Check of the staged pieces, one after the other, before a load order. It may take any time, as
+/// versions differ in size.
+#[derive(Debug, Clone, Copy)]
+pub struct Check {
+    stepped_at: Instant,
+    longest_gap: Duration,
+}
+
+impl Check {
+    /// Starts a check.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            stepped_at: now,
+            longest_gap: Duration::ZERO,
+        }
+    }
 
-/// Whether a check of the staged pieces that began at `started_at` still allows for an order.
-pub fn is_check_recent(started_at: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(started_at) < MAX_CHECK_AGE
+    /// Records that a piece has been checked.
+    pub fn step(&mut self, now: Instant) {
+        self.longest_gap = self.longest_gap(now);
+        self.stepped_at = now;
+    }
+
+    /// Longest time without a step.
+    pub fn longest_gap(&self, now: Instant) -> Duration {
+        let gap = now.saturating_duration_since(self.stepped_at);
+        self.longest_gap.max(gap)
+    }
+
+    /// Whether an order may rely on this check.
+    pub fn is_recent(&self, now: Instant) -> bool {
+        self.longest_gap(now) < MAX_CHECK_GAP
+    }
 }
 
 /// A version that the engine should serve.
