The time of a load order counts from its answer or failure

What users could see: an engine gets a second order, or pieces of another version, while an order whose answer was lost may still take effect.

Cause: the time of the outstanding order was that of its decision. The order leaves only after the check of the staged pieces; after a check of more than 700 ms the next report declared it expired at once.

Ruled out: a fault of the expiry itself; an order without a check before it is waited for as it should be (first case of the test).

Change: the time of the outstanding order is that of its answer or failure. A check that fails, so that no order leaves, is waited for as well.

Measured: with a check of 1 s the test ordered again within 700 ms before the change, after a lost answer and after an answer; it passes now, and orders again after 700 ms. The 12 walks of the fakes pass.

--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -142,7 +142,8 @@
     verified: bool,
     /// Whether a load would keep the minimum number of serving engines.
     granted: bool,
-    /// Fencing token and send time of the order whose result is unknown.
+    /// Fencing token of the order whose result is unknown, and the time of its decision, or of its
+    /// answer or failure: it may be sent long after its decision.
     outstanding: Option<(Revision, Instant)>,
     /// Time of the last order.
     ordered_at: Option<Instant>,
@@ -353,6 +354,9 @@
     fn ordering(&mut self, context: &mut Context, event: &Event) -> Outcome<State> {
         match event {
             Event::OrderAnswered | Event::OrderFailed => {
+                if let Some((_, sent_at)) = &mut self.outstanding {
+                    *sent_at = context.now;
+                }
                 context.actions.push(Action::ReadState);
                 Transition(State::confirming())
             }
