A stalled fetch keeps its manifest unless the origin has another

What users could see: agents that stood still, or were cut off from each other, for 10 s while the origin was away exchange no pieces when they meet again, although together they hold all of them. Nothing moves until the origin is back.

Cause: each stall put the manifest in doubt: it was neither used nor passed on, also after the 2 s without a new piece after which an older version merely gives way. With the origin away, no agent had a manifest any more, and none could get one from another.

Ruled out: pieces that are no longer offered. They are still reported and sent.

Change: core::fetch::Trust decides what the end of a fetch says about a manifest. After a stall the origin is asked for it again; if it does not answer, the one at hand is used (`manifest_kept`), and it is passed on all the time. A manifest of another agent does not replace it, as it may be the wrong one of the two, and pieces would be lost. It is dropped once pieces contradict it, as before. A fetch that gives way to a newer version ends as `yielded`, and says nothing about the manifest: the test of the 2 s path names this end in place of `stalled`.

Measured: with the old rule the new test of the model fails (no piece, in place of 7, 5 s after the agents meet), as do two of the four cases of the table; all pass now. The property of the model passes with 10,000 cases. Not tested: agents as processes.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -269,9 +269,7 @@
         if let Some((_, task)) = self.fetches.remove(&lane) {
             task.abort();
         }
-        if end == End::Stalled {
-            lock(&self.shared.pieces).doubt(version);
-        }
+        lock(&self.shared.pieces).end_fetch(version, end);
     }
 
     /// Makes a version the load target.
--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -5,6 +5,7 @@
         shared::lock,
         slot::{
             gossip,
+            manifest::{self, GONE},
             pieces::sha256,
             serve::{self, PieceReply},
             shared::{Shared, WeightSource},
@@ -23,7 +24,6 @@
         Error, engine,
         origin::{self, Manifest},
     },
-    rand::seq::IteratorRandom,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -35,7 +35,7 @@
 
 /// Timeout for one piece on a slow shared link, including the wait in its holder's upload queue.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Delay before a manifest is requested again, and after a failed request for a piece.
+/// Delay after a failed request for a piece.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Delay after a request to a host whose upload queue is full.
 const BUSY_DELAY: Duration = Duration::from_millis(30);
@@ -49,9 +49,6 @@
 /// Time after the announcement of a version from which agents of all regions are asked.
 const REMOTE_INTEREST_DELAY: Duration = Duration::from_millis(1_500);
 
-/// Status of the origin for a version that it no longer has.
-const GONE: u16 = 410;
-
 /// What came of a request for a piece.
 #[derive(Debug, Clone, Copy)]
 enum Received {
@@ -81,7 +78,7 @@
 pub async fn run(shared: Arc<Shared>, version: u64, announced_at: Instant) -> End {
     let started_at = clock::now();
     let mut supply = Supply::default();
-    let Some((source, manifest)) = obtain_manifest(&shared, version, &mut supply).await else {
+    let Some((source, manifest)) = manifest::obtain(&shared, version, &mut supply).await else {
         return End::Gone;
     };
     lock(&shared.pieces).add_version(&manifest);
@@ -101,9 +98,7 @@
             announced_at
         };
     let end = job.fetch_pieces(takeover_start).await;
-    if end == End::Contradicted {
-        lock(&job.shared.pieces).doubt(version);
-    }
+    lock(&job.shared.pieces).end_fetch(version, end);
     if end != End::Complete {
         return end;
     }
@@ -149,70 +144,6 @@
     }
 }
 
-/// Obtains the manifest from memory, the origin or another agent, retrying until it succeeds or the
-/// version is gone.
-async fn obtain_manifest(
-    shared: &Shared,
-    version: u64,
-    supply: &mut Supply,
-) -> Option<(WeightSource, Arc<Manifest>)> {
-    let mut attempt = 0;
-    loop {
-        if supply.is_gone(clock::now()) {
-            return None;
-        }
-        let Some(source) = shared.weight_source() else {
-            time::sleep(RETRY_DELAY).await;
-            continue;
-        };
-        if let Some(manifest) = lock(&shared.pieces).manifest(version) {
-            return Some((source, manifest));
-        }
-        match request_manifest(shared, &source, version, attempt).await {
-            Ok(Some(manifest)) => return Some((source, Arc::new(manifest))),
-            Ok(None) => {}
-            Err(cause) => {
-                if matches!(cause, Error::Refused(GONE)) {
-                    supply.refuse(clock::now());
-                }
-                if attempt == 0 {
-                    event!(Warn, "manifest_failed", version = version, reason = cause);
-                }
-                shared.metrics.fetch_failed.inc();
-            }
-        }
-        attempt += 1;
-        time::sleep(RETRY_DELAY).await;
-    }
-}
-
-/// Requests the manifest from the origin on even attempts and from any other agent on odd ones.
-async fn request_manifest(
-    shared: &Shared,
-    source: &WeightSource,
-    version: u64,
-    attempt: usize,
-) -> Result<Option<Manifest>, Error> {
-    let agents = shared.agents();
-    if let Some(origin) = source.origin
-        && (attempt.is_multiple_of(2) || agents.is_empty())
-    {
-        let mut client = origin::Client::new(origin);
-        let manifest = client.manifest(&source.model, version).await?;
-        if manifest.version != version {
-            let reason = format!("manifest of version {}", manifest.version);
-            return Err(Error::Malformed(reason.into()));
-        }
-        return Ok(Some(manifest));
-    }
-    let Some((address, _)) = agents.values().choose(&mut rand::rng()) else {
-        return Ok(None);
-    };
-    let peer = SocketAddr::new(IpAddr::V4(*address), shared.settings.internal_port);
-    let manifest = serve::fetch_manifest(peer, version).await;
-    manifest.map_err(Error::Malformed)
-}
-
 impl Job {
     /// Where the weights are now; `None` if the agent serves another model by now.
     fn current_source(&self) -> Option<WeightSource> {
--- a/crates/agent/src/slot/mod.rs
+++ b/crates/agent/src/slot/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod fetch;
 mod gossip;
+mod manifest;
 mod metrics;
 mod pieces;
 mod process;
--- a/crates/agent/src/slot/pieces.rs
+++ b/crates/agent/src/slot/pieces.rs
@@ -2,7 +2,10 @@
 
 use {
     bytes::Bytes,
-    jayspread_core::{fetch::Count, id::ChunkHash},
+    jayspread_core::{
+        fetch::{Count, End, Trust},
+        id::ChunkHash,
+    },
     jayspread_platform::origin::Manifest,
     sha2::{Digest, Sha256},
     std::{
@@ -22,8 +25,7 @@
     pieces: Vec<Option<Bytes>>,
     /// The engine serves the version, so its staging area holds the pieces instead of this store.
     released: bool,
-    /// The manifest may be wrong and is to be obtained again.
-    doubted: bool,
+    trust: Trust,
 }
 
 impl Entry {
@@ -40,7 +42,7 @@
 }
 
 impl Pieces {
-    /// Adds an empty entry for a version unless there is one. A manifest that is in doubt is replaced
+    /// Adds an empty entry for a version unless there is one. A manifest that is not sound is replaced
     /// by this one; pieces on which both agree are kept.
     pub fn add_version(&mut self, manifest: &Arc<Manifest>) {
         let count = manifest.digests.len();
@@ -51,9 +53,9 @@
                 manifest: Arc::clone(manifest),
                 pieces: vec![None; count],
                 released: false,
-                doubted: false,
+                trust: Trust::Sound,
             });
-        if !entry.doubted {
+        if entry.trust == Trust::Sound {
             return;
         }
         let digests = &manifest.digests;
@@ -64,13 +66,13 @@
             }
         }
         entry.manifest = Arc::clone(manifest);
-        entry.doubted = false;
+        entry.trust = Trust::Sound;
     }
 
-    /// Marks the manifest of a version as possibly wrong: it is not used or passed on any more.
-    pub fn doubt(&mut self, version: u64) {
+    /// Records what the end of a fetch says about the manifest of its version.
+    pub fn end_fetch(&mut self, version: u64, end: End) {
         if let Some(entry) = self.versions.get_mut(&version) {
-            entry.doubted = true;
+            entry.trust = entry.trust.after(end);
         }
     }
 
@@ -80,14 +82,20 @@
             .retain(|version, entry| entry.released || needed.contains(version));
     }
 
-    /// Manifest of a version, if the version is in the store and its manifest is not in doubt.
+    /// Manifest of a version, if the version is in the store and its manifest is usable.
     pub fn manifest(&self, version: u64) -> Option<Arc<Manifest>> {
         let entry = self.versions.get(&version);
         entry
-            .filter(|entry| !entry.doubted)
+            .filter(|entry| entry.trust.is_usable())
             .map(|entry| Arc::clone(&entry.manifest))
     }
 
+    /// Whether the origin is to be asked for the manifest of a version again.
+    pub fn is_stale(&self, version: u64) -> bool {
+        let entry = self.versions.get(&version);
+        entry.is_some_and(|entry| entry.trust == Trust::Stale)
+    }
+
     /// Bytes of a piece, if it is in memory.
     pub fn get(&self, version: u64, index: usize) -> Option<Bytes> {
         self.versions.get(&version)?.pieces.get(index)?.clone()
@@ -123,7 +131,9 @@
     /// Whether all pieces of a version are in memory.
     pub fn is_complete(&self, version: u64) -> bool {
         let entry = self.versions.get(&version);
-        entry.is_some_and(|entry| !entry.doubted && entry.pieces.iter().all(Option::is_some))
+        entry.is_some_and(|entry| {
+            entry.trust.is_usable() && entry.pieces.iter().all(Option::is_some)
+        })
     }
 
     /// Frees the pieces of `version` and drops all older versions, once the engine serves `version`
@@ -147,7 +157,10 @@
     pub fn counts(&self) -> impl Iterator<Item = (u64, Count)> {
         let count = |entry: &Entry| Count {
             held: entry.indices().count(),
-            total: if entry.doubted { 0 } else { entry.pieces.len() },
+            total: match entry.trust.is_usable() {
+                true => entry.pieces.len(),
+                false => 0,
+            },
         };
         let versions = self.versions.iter();
         versions.map(move |(version, entry)| (*version, count(entry)))
--- a/crates/core/src/fetch.rs
+++ b/crates/core/src/fetch.rs
@@ -91,6 +91,8 @@
     Contradicted,
     /// No new piece has come for a time.
     Stalled,
+    /// No new piece has come while a newer version waits to be fetched.
+    Yielded,
     /// A newer version is fetched, or will be loaded, instead.
     Superseded,
     /// The version was dropped from memory, or its source has changed to another model.
@@ -104,6 +106,7 @@
             End::Gone => "gone",
             End::Contradicted => "contradicted",
             End::Stalled => "stalled",
+            End::Yielded => "yielded",
             End::Superseded => "superseded",
             End::Dropped => "dropped",
         })
@@ -145,6 +148,39 @@
     }
 }
 
+/// How far the manifest of a version is relied on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Trust {
+    /// Nothing speaks against it.
+    #[default]
+    Sound,
+    /// A fetch has stalled with it. The next one replaces it if the origin has another, and else uses
+    /// it: without a manifest no agent could give its pieces to others. A manifest of another agent
+    /// does not replace it, as it may be the wrong one of the two.
+    Stale,
+    /// Pieces contradict it: it is neither used nor passed on.
+    Contradicted,
+}
+
+impl Trust {
+    /// Trust after a fetch of the version has ended.
+    pub fn after(self, end: End) -> Self {
+        match (self, end) {
+            (_, End::Contradicted) => Trust::Contradicted,
+            (Trust::Sound, End::Stalled) => Trust::Stale,
+            (trust, _) => trust,
+        }
+    }
+
+    /// Whether the manifest is used and passed on.
+    pub fn is_usable(self) -> bool {
+        match self {
+            Trust::Sound | Trust::Stale => true,
+            Trust::Contradicted => false,
+        }
+    }
+}
+
 /// Pieces that do not fit a manifest.
 ///
 /// Bytes that were changed on their way, or at their holder, differ from one transfer to another. The
@@ -288,7 +324,7 @@
             return Some(End::Superseded);
         }
         let blocks = lane == Lane::Newest && run.is_stalled(PRIORITY_LIMIT, view.now);
-        blocks.then_some(End::Stalled)
+        blocks.then_some(End::Yielded)
     }
 
     /// Starts fetching the newest version unless the engine serves it, all its pieces are in memory,
