No piece is staged while an order may take the staged pieces

What users could see: an engine loads pieces of two versions, if a newer version is to be loaded in place of one whose order has been sent.

Cause: the engine keeps one staged piece for each index, whatever its version. The selector may leave out a version for a newer one also after its order was sent, as it looks only at the turns; staging then began at once.

Ruled out: a second order, which the loader withholds. That an engine copies the staged pieces when it accepts the order is not stated, and an order whose answer was lost may be accepted later.

Change: Loader::allows_staging. No staging between an order and the report that it took effect or has expired, nor before orders of an earlier process have expired.

--- a/crates/agent/src/slot/control.rs
+++ b/crates/agent/src/slot/control.rs
@@ -296,7 +296,7 @@
             return;
         }
         if self.staged_version != Some(target.version) || !self.loader.is_complete() {
-            if !self.stage(target.version).await {
+            if !self.loader.allows_staging() || !self.stage(target.version).await {
                 return;
             }
             self.staged_version = Some(target.version);
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -461,6 +461,15 @@
         self.machine.inner().target.as_ref()
     }
 
+    /// Whether pieces may be staged: not while an order may still take what is staged, or the engine
+    /// loads it.
+    pub fn allows_staging(&self) -> bool {
+        match self.state() {
+            State::Empty { .. } | State::Serving { .. } | State::Draining { .. } => true,
+            State::Adopting { .. } | State::Ordering { .. } | State::Confirming { .. } => false,
+        }
+    }
+
     /// Whether all chunks of the target version are verified.
     pub fn is_complete(&self) -> bool {
         self.machine.inner().verified
