--- a/crates/agent/src/slot/fetch.rs
+++ b/crates/agent/src/slot/fetch.rs
@@ -5,6 +5,7 @@
         shared::lock,
         slot::{
             gossip,
+            manifest::{self, GONE},
             pieces::sha256,
             serve::{self, PieceReply},
             shared::{Shared, WeightSource},
@@ -16,14 +17,13 @@
         chunk::{Peer, Plan, Policy, Source, Step},
         fetch::{Doubt, End, Supply},
         id::{ChunkHash, Host},
-        spread::{self, Fetch, Holder, Scheduler},
+        spread::{self, Fetch, Holder, OriginFailure, Scheduler},
     },
     jayspread_net::{clock, event},
     jayspread_platform::{
         Error, engine,
         origin::{self, Manifest},
     },
-    rand::seq::IteratorRandom,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -35,7 +35,7 @@
 
 /// Timeout for one piece on a slow shared link, including the wait in its holder's upload queue.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Delay before a manifest is requested again, and after a failed request for a piece.
+/// Delay after a failed request for a piece.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Delay after a request to a host whose upload queue is full.
 const BUSY_DELAY: Duration = Duration::from_millis(30);
@@ -49,9 +49,6 @@
 /// Time after the announcement of a version from which agents of all regions are asked.
 const REMOTE_INTEREST_DELAY: Duration = Duration::from_millis(1_500);
 
-/// Status of the origin for a version that it no longer has.
-const GONE: u16 = 410;
-
 /// What came of a request for a piece.
 #[derive(Debug, Clone, Copy)]
 enum Received {
@@ -81,7 +78,7 @@
 pub async fn run(shared: Arc<Shared>, version: u64, announced_at: Instant) -> End {
     let started_at = clock::now();
     let mut supply = Supply::default();
-    let Some((source, manifest)) = obtain_manifest(&shared, version, &mut supply).await else {
+    let Some((source, manifest)) = manifest::obtain(&shared, version, &mut supply).await else {
         return End::Gone;
     };
     lock(&shared.pieces).add_version(&manifest);
@@ -101,9 +98,7 @@
             announced_at
         };
     let end = job.fetch_pieces(takeover_start).await;
-    if end == End::Contradicted {
-        lock(&job.shared.pieces).doubt(version);
-    }
+    lock(&job.shared.pieces).end_fetch(version, end);
     if end != End::Complete {
         return end;
     }
@@ -120,68 +115,33 @@
     End::Complete
 }
 
-/// Obtains the manifest from memory, the origin or another agent, retrying until it succeeds or the
-/// version is gone.
-async fn obtain_manifest(
-    shared: &Shared,
-    version: u64,
-    supply: &mut Supply,
-) -> Option<(WeightSource, Arc<Manifest>)> {
-    let mut attempt = 0;
-    loop {
-        if supply.is_gone(clock::now()) {
-            return None;
+/// Has the scheduler prefer other sources of a piece to one that failed to send it.
+fn reject_source(
+    scheduler: &mut Scheduler,
+    piece: usize,
+    source: &Source,
+    received: Received,
+    elapsed: Duration,
+) {
+    match (source, received) {
+        (Source::Peer(host), Received::Corrupt(_) | Received::Missing) => {
+            event!(
+                Info,
+                "holder_rejected",
+                peer = host,
+                index = piece,
+                missing = matches!(received, Received::Missing)
+            );
+            scheduler.reject(piece, host, elapsed);
         }
-        let Some(source) = shared.weight_source() else {
-            time::sleep(RETRY_DELAY).await;
-            continue;
-        };
-        if let Some(manifest) = lock(&shared.pieces).manifest(version) {
-            return Some((source, manifest));
-        }
-        match request_manifest(shared, &source, version, attempt).await {
-            Ok(Some(manifest)) => return Some((source, Arc::new(manifest))),
-            Ok(None) => {}
-            Err(cause) => {
-                if matches!(cause, Error::Refused(GONE)) {
-                    supply.refuse(clock::now());
-                }
-                if attempt == 0 {
-                    event!(Warn, "manifest_failed", version = version, reason = cause);
-                }
-                shared.metrics.fetch_failed.inc();
-            }
+        (Source::Origin, Received::Corrupt(_)) => {
+            scheduler.reject_origin(piece, OriginFailure::Corrupt, elapsed);
         }
-        attempt += 1;
-        time::sleep(RETRY_DELAY).await;
-    }
-}
-
-/// Requests the manifest from the origin on even attempts and from any other agent on odd ones.
-async fn request_manifest(
-    shared: &Shared,
-    source: &WeightSource,
-    version: u64,
-    attempt: usize,
-) -> Result<Option<Manifest>, Error> {
-    let agents = shared.agents();
-    if let Some(origin) = source.origin
-        && (attempt.is_multiple_of(2) || agents.is_empty())
-    {
-        let mut client = origin::Client::new(origin);
-        let manifest = client.manifest(&source.model, version).await?;
-        if manifest.version != version {
-            let reason = format!("manifest of version {}", manifest.version);
-            return Err(Error::Malformed(reason.into()));
+        (Source::Origin, Received::Missing | Received::Nothing) => {
+            scheduler.reject_origin(piece, OriginFailure::Nothing, elapsed);
         }
-        return Ok(Some(manifest));
+        (Source::Peer(_), Received::Nothing) | (_, Received::Busy | Received::Stored) => {}
     }
-    let Some((address, _)) = agents.values().choose(&mut rand::rng()) else {
-        return Ok(None);
-    };
-    let peer = SocketAddr::new(IpAddr::V4(*address), shared.settings.internal_port);
-    let manifest = serve::fetch_manifest(peer, version).await;
-    manifest.map_err(Error::Malformed)
 }
 
 impl Job {
@@ -275,20 +235,8 @@
                 Some(finished) = requests.join_next() => match finished {
                     Ok((Fetch { piece, source }, received)) => {
                         scheduler.finish_fetch(piece);
-                        if let Source::Peer(host) = &source
-                            && matches!(received, Received::Corrupt(_) | Received::Missing)
-                        {
-                            event!(
-                                Info,
-                                "holder_rejected",
-                                peer = host,
-                                index = piece,
-                                missing = matches!(received, Received::Missing)
-                            );
-                            let now = clock::now();
-                            let elapsed = now.saturating_duration_since(takeover_start);
-                            scheduler.reject(piece, host, elapsed);
-                        }
+                        let elapsed = clock::now().saturating_duration_since(takeover_start);
+                        reject_source(&mut scheduler, piece, &source, received, elapsed);
                         if let Received::Corrupt(digest) = received
                             && doubt.record(piece, &source, digest)
                         {
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -21,13 +21,43 @@
 /// Minimum time between two orders.
 const MIN_ORDER_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Longest time from the start of the check of the staged pieces until the load order: pieces may turn
-/// bad at the engine at any time.
-const MAX_CHECK_AGE: Duration = Duration::from_secs(2);
+/// Longest time between two steps of the check of the staged pieces, and from the last one until the
+/// load order: pieces may turn bad at the engine while the agent stands still.
+const MAX_CHECK_GAP: Duration = Duration::from_secs(2);
+
+/// Check of the staged pieces, one after the other, before a load order. It may take any time, as
+/// versions differ in size.
+#[derive(Debug, Clone, Copy)]
+pub struct Check {
+    stepped_at: Instant,
+    longest_gap: Duration,
+}
+
+impl Check {
+    /// Starts a check.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            stepped_at: now,
+            longest_gap: Duration::ZERO,
+        }
+    }
+
+    /// Records that a piece has been checked.
+    pub fn step(&mut self, now: Instant) {
+        self.longest_gap = self.longest_gap(now);
+        self.stepped_at = now;
+    }
 
-/// Whether a check of the staged pieces that began at `started_at` still allows for an order.
-pub fn is_check_recent(started_at: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(started_at) < MAX_CHECK_AGE
+    /// Longest time without a step.
+    pub fn longest_gap(&self, now: Instant) -> Duration {
+        let gap = now.saturating_duration_since(self.stepped_at);
+        self.longest_gap.max(gap)
+    }
+
+    /// Whether an order may rely on this check.
+    pub fn is_recent(&self, now: Instant) -> bool {
+        self.longest_gap(now) < MAX_CHECK_GAP
+    }
 }
 
 /// A version that the engine should serve.
@@ -112,7 +142,8 @@
     verified: bool,
     /// Whether a load would keep the minimum number of serving engines.
     granted: bool,
-    /// Fencing token and send time of the order whose result is unknown.
+    /// Fencing token of the order whose result is unknown, and the time of its decision, or of its
+    /// answer or failure: it may be sent long after its decision.
     outstanding: Option<(Revision, Instant)>,
     /// Time of the last order.
     ordered_at: Option<Instant>,
@@ -323,6 +354,9 @@
     fn ordering(&mut self, context: &mut Context, event: &Event) -> Outcome<State> {
         match event {
             Event::OrderAnswered | Event::OrderFailed => {
+                if let Some((_, sent_at)) = &mut self.outstanding {
+                    *sent_at = context.now;
+                }
                 context.actions.push(Action::ReadState);
                 Transition(State::confirming())
             }
@@ -427,6 +461,15 @@
         self.machine.inner().target.as_ref()
     }
 
+    /// Whether pieces may be staged: not while an order may still take what is staged, or the engine
+    /// loads it.
+    pub fn allows_staging(&self) -> bool {
+        match self.state() {
+            State::Empty { .. } | State::Serving { .. } | State::Draining { .. } => true,
+            State::Adopting { .. } | State::Ordering { .. } | State::Confirming { .. } => false,
+        }
+    }
+
     /// Whether all chunks of the target version are verified.
     pub fn is_complete(&self) -> bool {
         self.machine.inner().verified
