Crashes count by the process, not by the engine's id

Callers could see a request that ends one engine process after another: an engine that comes back under its id is a new process, but its crash had the hash of the earlier one's, so that the request had "one crash" for good and was sent again. The reverse as well: an abandoned attempt was kept by id, so that the end of an earlier process was blamed on an attempt at the next one, and a check that found the next one alive cleared the earlier one.

Cause: the hash of a crash and the abandoned attempts had the id only. Ruled out: a change of the message between hosts. It carries hashes, and all hosts take the start from the same list, so the hash of id and start is the same on all.

Change: a reservation knows the start of its process; a crash is the hash of id and start (of the id alone if the platform states no start), and abandoned attempts and findings are by process. Numbers of records stay as limited.

The tests in core need the new signatures and were not run on the code before.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -14,6 +14,7 @@
         engine::{Engine, Load, Place, Report},
         id::{DataCentre, Engine as Id, Region, Service, Started},
         outlier::Outcome,
+        quarantine::Instance,
         target::Bound,
     },
     std::{
@@ -63,9 +64,21 @@
     pub id: Id,
     /// Address of the engine.
     pub address: SocketAddr,
+    started: Started,
     generation: u64,
 }
 
+impl Reservation {
+    /// The engine process.
+    pub fn instance(&self) -> Instance {
+        Instance {
+            engine: self.id.clone(),
+            started: self.started,
+            address: self.address,
+        }
+    }
+}
+
 /// The chosen engine, and the estimates that the choice was based on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Choice {
--- a/crates/core/src/placement/choice.rs
+++ b/crates/core/src/placement/choice.rs
@@ -126,6 +126,7 @@
             reservation: Reservation {
                 id: id.clone(),
                 address: engine.listing.address,
+                started: engine.listing.started_ms,
                 generation: entry.generation,
             },
             data_centre: engine.listing.data_centre.clone(),
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -20,7 +20,7 @@
 
 use {
     self::{abandoned::Abandoned, record::Record},
-    crate::id::{self, score},
+    crate::id::{self, Started, score},
     std::{
         cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
@@ -90,9 +90,15 @@
     }
 }
 
-/// Hash of the engine instance with this id.
-pub fn crash(engine_instance: &str) -> Crash {
-    score(b"engine crash", engine_instance)
+/// Hash of the engine process with this id and start, the same on all hosts.
+pub fn crash(engine: &str, started: Started) -> Crash {
+    let Some(started) = started else {
+        return score(b"engine crash", engine);
+    };
+    id::digest(
+        b"engine crash",
+        &[engine.as_bytes(), &started.to_le_bytes()],
+    )
 }
 
 /// Decision about a request.
@@ -152,10 +158,10 @@
 }
 
 impl Ledger {
-    /// Records that `engine` ended while it began to answer a request with these parts.
-    pub fn record_crash(&mut self, parts: &[Part], engine: &str, now: Instant) {
+    /// Records that an engine process ended, by its [`crash`], while it began to answer a request with
+    /// these parts.
+    pub fn record_crash(&mut self, parts: &[Part], crash: Crash, now: Instant) {
         self.expire_if_due(now);
-        let crash = crash(engine);
         let mut changed = false;
         for part in parts {
             let record = self.record(*part);
--- a/crates/core/src/quarantine/abandoned.rs
+++ b/crates/core/src/quarantine/abandoned.rs
@@ -3,8 +3,8 @@
 //! its crash if it has ended.
 
 use {
-    super::{Ledger, Part},
-    crate::id::Engine,
+    super::{Crash, Ledger, Part, crash},
+    crate::id::{Engine, Started},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -36,15 +36,24 @@
     Unknown,
 }
 
-/// Engine instance that is to be checked.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// Engine process, told from others that run under its id.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Instance {
     /// Its id.
     pub engine: Engine,
+    /// Its start, as the platform lists it.
+    pub started: Started,
     /// Address of its HTTP interface.
     pub address: SocketAddr,
 }
 
+impl Instance {
+    /// Hash of the process.
+    pub fn crash(&self) -> Crash {
+        crash(&self.engine, self.started)
+    }
+}
+
 #[derive(Debug)]
 struct Attempt {
     parts: Box<[Part]>,
@@ -65,9 +74,8 @@
 }
 
 /// Attempts at one engine.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Pending {
-    address: SocketAddr,
     attempts: Vec<Attempt>,
     checked_at: Option<Instant>,
 }
@@ -80,10 +88,10 @@
     }
 }
 
-/// Abandoned attempts by the id of the engine instance.
+/// Abandoned attempts by the engine process.
 #[derive(Debug, Default)]
 pub(super) struct Abandoned {
-    engines: BTreeMap<Engine, Pending>,
+    engines: BTreeMap<Instance, Pending>,
     count: usize,
 }
 
@@ -93,15 +101,7 @@
             return;
         }
         self.count += 1;
-        let pending = || Pending {
-            address: instance.address,
-            attempts: Vec::new(),
-            checked_at: None,
-        };
-        let pending = self
-            .engines
-            .entry(instance.engine.clone())
-            .or_insert_with(pending);
+        let pending = self.engines.entry(instance.clone()).or_default();
         pending.attempts.push(Attempt {
             parts: parts.into(),
             ended_at: now,
@@ -110,8 +110,8 @@
     }
 
     /// Forgets the attempts at an engine whose last check has shown that it is alive.
-    fn record_survival(&mut self, engine: &str, checked_at: Instant) {
-        let Some(pending) = self.engines.get_mut(engine) else {
+    fn record_survival(&mut self, instance: &Instance, checked_at: Instant) {
+        let Some(pending) = self.engines.get_mut(instance) else {
             return;
         };
         for attempt in &mut pending.attempts {
@@ -123,7 +123,7 @@
             .retain(|attempt| checked_at < attempt.ended_at + LAST_CHECK);
         self.count -= before - pending.attempts.len();
         if pending.attempts.is_empty() {
-            self.engines.remove(engine);
+            self.engines.remove(instance);
         }
     }
 
@@ -139,8 +139,8 @@
             .sum();
     }
 
-    fn remove(&mut self, engine: &str) -> Vec<Attempt> {
-        let pending = self.engines.remove(engine);
+    fn remove(&mut self, instance: &Instance) -> Vec<Attempt> {
+        let pending = self.engines.remove(instance);
         let attempts = pending.map_or_else(Vec::new, |pending| pending.attempts);
         self.count -= attempts.len();
         attempts
@@ -165,13 +165,10 @@
         self.abandoned
             .retain(|attempt| now.saturating_duration_since(attempt.ended_at) < MEMORY);
         let mut due = Vec::new();
-        for (engine, pending) in &mut self.abandoned.engines {
+        for (instance, pending) in &mut self.abandoned.engines {
             if pending.check_at().is_some_and(|at| at <= now) {
                 pending.checked_at = Some(now);
-                due.push(Instance {
-                    engine: engine.clone(),
-                    address: pending.address,
-                });
+                due.push(instance.clone());
             }
         }
         due
@@ -193,7 +190,7 @@
     /// Returns the number of abandoned attempts that count as its crash.
     pub fn record_finding(
         &mut self,
-        engine: &str,
+        instance: &Instance,
         finding: Finding,
         checked_at: Instant,
         now: Instant,
@@ -201,17 +198,17 @@
         match finding {
             Finding::Unknown => 0,
             Finding::Alive => {
-                self.abandoned.record_survival(engine, checked_at);
+                self.abandoned.record_survival(instance, checked_at);
                 0
             }
             Finding::Ended => {
-                let attempts = self.abandoned.remove(engine);
+                let attempts = self.abandoned.remove(instance);
                 let recent = attempts
                     .iter()
                     .filter(|attempt| checked_at < attempt.ended_at + MEMORY);
                 let mut count = 0;
                 for attempt in recent {
-                    self.record_crash(&attempt.parts, engine, now);
+                    self.record_crash(&attempt.parts, instance.crash(), now);
                     count += 1;
                 }
                 count
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -26,7 +26,7 @@
 /// Records crashes of `parts` at the instances in `engines`.
 fn crash_on(ledger: &mut Ledger, parts: &[Part], engines: std::ops::Range<u32>, now: Instant) {
     for engine in engines {
-        ledger.record_crash(parts, &format!("i-{engine}"), now);
+        ledger.record_crash(parts, crash(&format!("i-{engine}"), None), now);
     }
 }
 
@@ -35,7 +35,7 @@
         part,
         crashes: engines
             .iter()
-            .map(|engine| (crash(engine), Duration::ZERO))
+            .map(|engine| (crash(engine, None), Duration::ZERO))
             .collect(),
         completed,
     }
@@ -85,9 +85,9 @@
         now += ms(100);
         let engine_id = format!("i-{engine}");
         if engine < shared {
-            ledger.record_crash(&[first, rare], &engine_id, now);
+            ledger.record_crash(&[first, rare], crash(&engine_id, None), now);
         }
-        ledger.record_crash(&[first, bad], &engine_id, now);
+        ledger.record_crash(&[first, bad], crash(&engine_id, None), now);
     }
     now += CONFIRMATION;
     assert_eq!(ledger.quarantined(now).collect::<Vec<_>>(), [bad]);
@@ -102,8 +102,8 @@
     let mut ledger = Ledger::default();
     let bad = part("bad");
     for _ in 0..10 {
-        ledger.record_crash(&[bad, bad], "i-1", now);
-        ledger.record_crash(&[bad], "i-2", now);
+        ledger.record_crash(&[bad, bad], crash("i-1", None), now);
+        ledger.record_crash(&[bad], crash("i-2", None), now);
     }
     assert!(accepts(&mut ledger, &[bad], now + ms(1_000)));
 }
@@ -345,7 +345,7 @@
     let expected = merge_all(&[0, 1, 2, 3, 4]);
     assert_eq!(expected.len(), 1);
     assert_eq!(expected[0].crashes.len(), 5);
-    assert!(expected[0].crashes.contains(&(crash("i-2"), ms(700))));
+    assert!(expected[0].crashes.contains(&(crash("i-2", None), ms(700))));
     for order in [
         [4, 3, 2, 1, 0].as_slice(),
         &[3, 0, 4, 2, 1],
@@ -388,17 +388,17 @@
     let (one, two, rare) = (part("one"), part("two"), part("rare"));
     for engine in 0..4 {
         now += ms(50);
-        ledger.record_crash(&[one], &format!("i-a{engine}"), now);
-        ledger.record_crash(&[rare], &format!("i-a{engine}"), now);
-        ledger.record_crash(&[two], &format!("i-b{engine}"), now);
+        ledger.record_crash(&[one], crash(&format!("i-a{engine}"), None), now);
+        ledger.record_crash(&[rare], crash(&format!("i-a{engine}"), None), now);
+        ledger.record_crash(&[two], crash(&format!("i-b{engine}"), None), now);
         if engine < 2 {
-            ledger.record_crash(&[rare], &format!("i-b{engine}"), now);
+            ledger.record_crash(&[rare], crash(&format!("i-b{engine}"), None), now);
             // More shared engines than `one` has in all, but fewer once its crashes are explained.
-            ledger.record_crash(&[one], &format!("i-b{engine}"), now);
+            ledger.record_crash(&[one], crash(&format!("i-b{engine}"), None), now);
         }
     }
     now += ms(1_000);
-    ledger.record_crash(&[two], "i-b4", now);
+    ledger.record_crash(&[two], crash("i-b4", None), now);
     now += ms(1_000);
     assert!(!accepts(&mut ledger, &[one], now));
     assert!(!accepts(&mut ledger, &[two], now));
--- a/crates/core/tests/quarantine_abandoned.rs
+++ b/crates/core/tests/quarantine_abandoned.rs
@@ -15,8 +15,13 @@
 }
 
 fn instance(engine: &str) -> Instance {
+    process(engine, 1)
+}
+
+fn process(engine: &str, started: u64) -> Instance {
     Instance {
         engine: engine.into(),
+        started: Some(started),
         address: ([127, 0, 0, 1], 80).into(),
     }
 }
@@ -44,7 +49,12 @@
     }
     for (at, finding) in findings {
         for engine in ["i-1", "i-2"] {
-            ledger.record_finding(engine, *finding, start + ms(*at), start + ms(*at));
+            ledger.record_finding(
+                &instance(engine),
+                *finding,
+                start + ms(*at),
+                start + ms(*at),
+            );
         }
     }
     let now = start + ms(2_700);
@@ -63,7 +73,7 @@
         now += ms(5_000);
         ledger.record_abandoned(&[popular], &instance(engine), now);
         assert_eq!(ledger.next_check(), None, "no check is needed");
-        ledger.record_finding(engine, Finding::Ended, now, now);
+        ledger.record_finding(&instance(engine), Finding::Ended, now, now);
         assert!(accepts(&mut ledger, &[popular], now));
     }
 }
@@ -82,7 +92,7 @@
         for due in ledger.due_checks(now) {
             first_check.get_or_insert(step);
             checks += 1;
-            ledger.record_finding(&due.engine, Finding::Alive, now, now);
+            ledger.record_finding(&due, Finding::Alive, now, now);
         }
     }
     assert_eq!(first_check, Some(300));
@@ -100,13 +110,36 @@
     assert!(ledger.has_unchecked());
     assert_eq!(ledger.due_checks(start + ms(300)), [instance("i-1")]);
     let checked_at = start + ms(300);
-    ledger.record_finding("i-1", Finding::Alive, checked_at, checked_at);
+    ledger.record_finding(&instance("i-1"), Finding::Alive, checked_at, checked_at);
     assert!(!ledger.has_unchecked());
     assert_eq!(ledger.next_check(), Some(start + ms(2_000)));
     ledger.record_abandoned(&[content("a")], &instance("i-2"), start);
-    ledger.record_finding("i-2", Finding::Alive, checked_at, checked_at);
+    ledger.record_finding(&instance("i-2"), Finding::Alive, checked_at, checked_at);
     let last = start + ms(2_000);
     assert_eq!(ledger.due_checks(last), [instance("i-1"), instance("i-2")]);
-    ledger.record_finding("i-1", Finding::Alive, last, last);
-    assert_eq!(ledger.record_finding("i-2", Finding::Ended, last, last), 1);
+    ledger.record_finding(&instance("i-1"), Finding::Alive, last, last);
+    assert_eq!(
+        ledger.record_finding(&instance("i-2"), Finding::Ended, last, last),
+        1
+    );
+}
+
+/// Guards against taking the end of a process for that of the next one of its id, and the life of the
+/// next one for that of the earlier.
+#[test]
+fn finding_concerns_the_process_that_was_checked() {
+    let start = Instant::now();
+    let mut ledger = Ledger::default();
+    let (earlier, later) = (process("i-1", 1), process("i-1", 2));
+    for instance in [&earlier, &later] {
+        ledger.record_abandoned(&[content("a")], instance, start);
+    }
+    let last = start + ms(2_000);
+    ledger.record_finding(&later, Finding::Alive, last, last);
+    assert_eq!(ledger.due_checks(last), [earlier.clone()]);
+    let ended = ledger.record_finding(&earlier, Finding::Ended, last, last);
+    assert_eq!(ended, 1);
+    ledger.record_abandoned(&[content("b")], &later, last);
+    let ended = ledger.record_finding(&earlier, Finding::Ended, last, last);
+    assert_eq!(ended, 0, "the later one goes on");
 }
--- a/crates/core/tests/quarantine_fleet.rs
+++ b/crates/core/tests/quarantine_fleet.rs
@@ -1,7 +1,7 @@
 //! Model of a fleet whose entry hosts quarantine a crashing prompt part by gossip.
 
 use {
-    jayspread_core::quarantine::{Ledger, Part, Statement, Verdict, part},
+    jayspread_core::quarantine::{Ledger, Part, Statement, Verdict, crash, part},
     rand::{Rng, SeedableRng, rngs::StdRng},
     rstest::rstest,
     std::{
@@ -203,7 +203,7 @@
         for call in &broken {
             let engine = &self.engines[call.engine];
             let id = format!("i-{}-{}", call.engine, engine.instance);
-            self.hosts[call.host].record_crash(&call.parts, &id, now);
+            self.hosts[call.host].record_crash(&call.parts, crash(&id, None), now);
         }
         for engine in &mut self.engines {
             if engine.up_at == self.time + RESTART {
@@ -328,7 +328,7 @@
     let bad = part("bad");
     let confirmation = Duration::from_millis(300);
     for engine in ["i-1", "i-2", "i-3"] {
-        informed.record_crash(&[bad], engine, now);
+        informed.record_crash(&[bad], crash(engine, None), now);
     }
     let mut now = now + confirmation;
     while informed.has_news() {
--- a/crates/core/tests/quarantine_request.rs
+++ b/crates/core/tests/quarantine_request.rs
@@ -1,7 +1,10 @@
 //! Tests of blaming the content of a request as a whole, beside the parts of its prompt.
 
 use {
-    jayspread_core::quarantine::{Ledger, Part, Verdict, part, request},
+    jayspread_core::{
+        id::Started,
+        quarantine::{Ledger, Part, Verdict, crash, part, request},
+    },
     rstest::rstest,
     std::time::{Duration, Instant},
 };
@@ -34,7 +37,7 @@
     for (second, engine) in (0..).zip(["i-1", "i-2"]) {
         let now = now + Duration::from_secs(second);
         assert!(accepts(&mut ledger, &[shared, bad], now), "before {engine}");
-        ledger.record_crash(&[shared, bad], engine, now);
+        ledger.record_crash(&[shared, bad], crash(engine, None), now);
         ledger.record_completion(&[shared, content("sound")], now);
     }
     let now = now + Duration::from_secs(1);
@@ -55,7 +58,11 @@
     let shared = part("f0");
     let mut ledger = Ledger::default();
     for (engine, name) in contents.iter().enumerate() {
-        ledger.record_crash(&[shared, content(name)], &format!("i-{engine}"), now);
+        ledger.record_crash(
+            &[shared, content(name)],
+            crash(&format!("i-{engine}"), None),
+            now,
+        );
     }
     let later = now + Duration::from_secs(1);
     let part_accepted = accepts(&mut ledger, &[shared, content("new")], later);
@@ -73,7 +80,11 @@
     let mut ledger = Ledger::default();
     ledger.record_completion(&[popular], now);
     for engine in ["i-1", "i-2", "i-3"] {
-        ledger.record_crash(&[popular], engine, now + Duration::from_secs(5));
+        ledger.record_crash(
+            &[popular],
+            crash(engine, None),
+            now + Duration::from_secs(5),
+        );
     }
     assert!(accepts(
         &mut ledger,
@@ -91,7 +102,7 @@
     let mut ledger = Ledger::default();
     for engine in ["i-1", "i-2"] {
         ledger.record_completion(&[sound], now);
-        ledger.record_crash(&[bad], engine, now + Duration::from_secs(1));
+        ledger.record_crash(&[bad], crash(engine, None), now + Duration::from_secs(1));
     }
     let later = now + Duration::from_secs(2);
     assert!(!accepts(&mut ledger, &[bad], later));
@@ -111,3 +122,20 @@
     let first = hash(["org", "x.example", "/s/1", "f0:40", "body"]);
     assert_ne!(hash(other), first);
 }
+
+/// Guards against counting the crashes of all processes of an id as one, and that of one process,
+/// which two hosts tell, as two.
+#[rstest]
+#[case::two_processes_of_an_id(Some(2), false)]
+#[case::one_process(Some(1), true)]
+fn crashes_are_counted_by_process(#[case] second: Started, #[case] is_accepted: bool) {
+    let now = Instant::now();
+    let bad = content("bad");
+    let (mut ledger, mut other) = (Ledger::default(), Ledger::default());
+    ledger.record_crash(&[bad], crash("i-1", Some(1)), now);
+    other.record_crash(&[bad], crash("i-1", second), now);
+    for statement in other.news(1, now) {
+        ledger.merge(&statement, now);
+    }
+    assert_eq!(accepts(&mut ledger, &[bad], now), is_accepted);
+}
--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -10,11 +10,7 @@
         shared::lock,
     },
     http::StatusCode,
-    jayspread_core::{
-        framing::End,
-        outlier::Outcome,
-        quarantine::{Instance, Part},
-    },
+    jayspread_core::{framing::End, outlier::Outcome, quarantine::Part},
     jayspread_net::{
         channel::{Channel, Error},
         clock,
@@ -103,8 +99,8 @@
             self.fate = Fate::Settled;
         } else if has_ended {
             self.fate = Fate::Settled;
-            let engine = &self.permit.reservation.id;
-            self.state().record_crash(&self.subject, engine, reason);
+            let instance = self.permit.reservation.instance();
+            self.state().record_crash(&self.subject, &instance, reason);
         } else {
             self.fate = Fate::Failed;
         }
@@ -168,11 +164,7 @@
         if self.fate == Fate::Settled {
             return;
         }
-        let reservation = &self.permit.reservation;
-        let instance = Instance {
-            engine: reservation.id.clone(),
-            address: reservation.address,
-        };
+        let instance = self.permit.reservation.instance();
         self.state()
             .record_abandoned(&self.subject.parts, &instance);
     }
--- a/crates/entry/src/front/proof.rs
+++ b/crates/entry/src/front/proof.rs
@@ -61,6 +61,6 @@
         engine = engine,
         result = reason
     );
-    state.record_finding(engine, finding, checked_at);
+    state.record_finding(&reservation.instance(), finding, checked_at);
     finding
 }
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -92,7 +92,7 @@
             Err(_) => Finding::Unknown,
         }
     };
-    state.record_finding(&instance.engine, finding, checked_at);
+    state.record_finding(&instance, finding, checked_at);
 }
 
 /// Passes on what is left of the news before the process ends.
@@ -203,12 +203,12 @@
         }
     }
 
-    /// Records that an engine ended on an attempt, as its connection shows by `reason`.
-    pub fn record_crash(&self, subject: &Subject, engine: &str, reason: &str) {
+    /// Records that an engine process ended on an attempt, as its connection shows by `reason`.
+    pub fn record_crash(&self, subject: &Subject, instance: &Instance, reason: &str) {
         let now = clock::now();
         let mut crash_count = 0;
         self.update_quarantine(now, |ledger| {
-            ledger.record_crash(&subject.parts, engine, now);
+            ledger.record_crash(&subject.parts, instance.crash(), now);
             let content = subject.parts.last();
             crash_count = content.map_or(0, |content| ledger.crash_count(*content));
         });
@@ -216,7 +216,7 @@
             Info,
             "engine_crashed",
             request = subject.request_id,
-            engine = engine,
+            engine = instance.engine,
             reason = reason,
             crashes = crash_count
         );
@@ -256,18 +256,18 @@
         self.quarantine_due.notify_one();
     }
 
-    /// Records what is known of an engine since `checked_at`.
-    pub fn record_finding(&self, engine: &str, finding: Finding, checked_at: Instant) {
+    /// Records what is known of an engine process since `checked_at`.
+    pub fn record_finding(&self, instance: &Instance, finding: Finding, checked_at: Instant) {
         let now = clock::now();
         let mut crash_count = 0;
         self.update_quarantine(now, |ledger| {
-            crash_count = ledger.record_finding(engine, finding, checked_at, now);
+            crash_count = ledger.record_finding(instance, finding, checked_at, now);
         });
         if crash_count > 0 {
             event!(
                 Info,
                 "engine_crashed",
-                engine = engine,
+                engine = instance.engine,
                 reason = "refused",
                 abandoned = crash_count
             );
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -213,10 +213,10 @@
             Err(cause) => {
                 permit.set_outcome(Outcome::Failure, cause.kind());
                 if cause.is_refused() {
-                    let engine = &permit.reservation.id;
+                    let instance = permit.reservation.instance();
                     permit
                         .state
-                        .record_finding(engine, Finding::Ended, permit.sent_at);
+                        .record_finding(&instance, Finding::Ended, permit.sent_at);
                 }
                 return Err(Failure::Unsent(cause.kind()));
             }
