Idle connections belong to a process, not to an engine's id

Callers could see requests for an engine that had started again at another address run at its earlier process, for as long as that went on: an answer of the earlier process that ended after the next one was listed put its connection back under the id.

Cause: the pool was by id, and was emptied once, when the next process was listed. Ruled out: emptying it again later, as each answer still in flight brings one more connection.

Change: the pool is by process (id, start, address); connections of processes that are not listed are closed with the next heartbeat, as before.

--- a/crates/core/src/quarantine/abandoned.rs
+++ b/crates/core/src/quarantine/abandoned.rs
@@ -4,7 +4,10 @@
 
 use {
     super::{Crash, Ledger, Part, crash},
-    crate::id::{Engine, Started},
+    crate::{
+        engine::Listing,
+        id::{Engine, Started},
+    },
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -54,6 +57,16 @@
     }
 }
 
+impl From<&Listing> for Instance {
+    fn from(listing: &Listing) -> Self {
+        Self {
+            engine: listing.id.clone(),
+            started: listing.started_ms,
+            address: listing.address,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Attempt {
     parts: Box<[Part]>,
--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -148,9 +148,9 @@
     async fn linger(mut self) {
         match time::timeout(LINGER_TIME, self.read_rest()).await {
             Ok(Ok(())) => {
-                let engine = self.permit.reservation.id.clone();
+                let instance = self.permit.reservation.instance();
                 let state = Arc::clone(self.state());
-                lock(&state.pool).put(&engine, self.channel);
+                lock(&state.pool).put(&instance, self.channel);
                 return;
             }
             Ok(Err(cause)) => self.record_failure(cause.kind(), 0),
@@ -191,7 +191,7 @@
         if let Some(mut line) = self.0.take() {
             line.settle();
             let state = Arc::clone(line.state());
-            lock(&state.pool).put(&line.permit.reservation.id, line.channel);
+            lock(&state.pool).put(&line.permit.reservation.instance(), line.channel);
         }
     }
 }
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -16,6 +16,7 @@
         id::{Engine as Id, Host},
         mirror::Position,
         placement::Table,
+        quarantine::Instance,
         reader,
     },
     jayspread_net::{clock, event, members, reports, targets},
@@ -412,8 +413,8 @@
         event!(Info, "engine_listed_by_copy", engine = engine, used = true);
     }
     table.set_managed(|address| managers.contains(&address));
-    let listed = table.iter().map(|engine| engine.listing.id.clone());
-    let listed: BTreeSet<Box<str>> = listed.collect();
+    let listed = table.iter().map(|engine| Instance::from(&engine.listing));
+    let listed: BTreeSet<Instance> = listed.collect();
     drop(table);
     *lock(&state.stranded) = stranded;
     lock(&state.pool).prune(&listed);
--- a/crates/entry/src/front/pool.rs
+++ b/crates/entry/src/front/pool.rs
@@ -1,7 +1,7 @@
-//! Pool of idle connections to engines, keyed by engine instance.
+//! Pool of idle connections to engines, by engine process.
 
 use {
-    jayspread_core::id::Engine,
+    jayspread_core::quarantine::Instance,
     jayspread_net::channel::Channel,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -15,13 +15,13 @@
 /// Idle connections of all engines.
 #[derive(Default)]
 pub struct Pool {
-    idle: BTreeMap<Engine, Vec<Channel>>,
+    idle: BTreeMap<Instance, Vec<Channel>>,
 }
 
 impl Pool {
     /// Takes the most recently used connection that has been idle for less than `max_idle`; older
     /// ones are closed.
-    pub fn take(&mut self, engine: &str, max_idle: Duration) -> Option<Channel> {
+    pub fn take(&mut self, engine: &Instance, max_idle: Duration) -> Option<Channel> {
         let idle = self.idle.get_mut(engine)?;
         while let Some(channel) = idle.pop() {
             if channel.is_reusable(max_idle) {
@@ -32,7 +32,7 @@
     }
 
     /// Whether an idle connection to the engine is open.
-    pub fn is_connected(&self, engine: &str) -> bool {
+    pub fn is_connected(&self, engine: &Instance) -> bool {
         let idle = self.idle.get(engine);
         idle.is_some_and(|idle| {
             idle.iter()
@@ -42,7 +42,7 @@
 
     /// Returns a connection to the pool; closes it if its last response was not read completely or
     /// if the engine has enough idle connections.
-    pub fn put(&mut self, engine: &Engine, channel: Channel) {
+    pub fn put(&mut self, engine: &Instance, channel: Channel) {
         if !channel.is_clean() {
             return;
         }
@@ -52,14 +52,9 @@
         }
     }
 
-    /// Closes the connections to an engine: another process has its id now.
-    pub fn clear(&mut self, engine: &str) {
-        self.idle.remove(engine);
-    }
-
     /// Closes connections to engines that are not listed and connections that are no longer
     /// reusable.
-    pub fn prune(&mut self, listed: &BTreeSet<Engine>) {
+    pub fn prune(&mut self, listed: &BTreeSet<Instance>) {
         self.idle.retain(|engine, idle| {
             idle.retain(|channel| channel.is_reusable(Duration::MAX));
             listed.contains(engine) && !idle.is_empty()
--- a/crates/entry/src/front/proof.rs
+++ b/crates/entry/src/front/proof.rs
@@ -46,10 +46,10 @@
 /// here replaces.
 async fn check(state: &State, reservation: &Reservation) -> Finding {
     let checked_at = clock::now();
-    let engine = &reservation.id;
+    let instance = reservation.instance();
     let (finding, reason) = match Channel::open(reservation.address, CONNECT_TIMEOUT).await {
         Ok(channel) => {
-            lock(&state.pool).put(engine, channel);
+            lock(&state.pool).put(&instance, channel);
             (Finding::Alive, "accepted")
         }
         Err(cause) if cause.is_refused() => (Finding::Ended, "refused"),
@@ -58,9 +58,9 @@
     event!(
         Info,
         "unmarked_end_checked",
-        engine = engine,
+        engine = instance.engine,
         result = reason
     );
-    state.record_finding(&reservation.instance(), finding, checked_at);
+    state.record_finding(&instance, finding, checked_at);
     finding
 }
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -79,13 +79,13 @@
 /// Checks whether an engine instance has ended: a process that runs accepts connections.
 async fn check_engine(state: Arc<State>, instance: Instance) {
     let checked_at = clock::now();
-    let is_connected = lock(&state.pool).is_connected(&instance.engine);
+    let is_connected = lock(&state.pool).is_connected(&instance);
     let finding = if is_connected {
         Finding::Alive
     } else {
         match Channel::open(instance.address, CONNECT_TIMEOUT).await {
             Ok(channel) => {
-                lock(&state.pool).put(&instance.engine, channel);
+                lock(&state.pool).put(&instance, channel);
                 Finding::Alive
             }
             Err(cause) if cause.is_refused() => Finding::Ended,
--- a/crates/entry/src/front/records.rs
+++ b/crates/entry/src/front/records.rs
@@ -310,9 +310,6 @@
         event!(Info, "engine_listed_by_copy", engine = id, used = false);
         return;
     };
-    if is_new {
-        lock(&state.pool).clear(&id);
-    }
     event!(
         Info,
         "engine_listed",
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -282,7 +282,7 @@
         Kind::Once | Kind::Stream => MAX_IDLE_NON_IDEMPOTENT,
         Kind::Idempotent | Kind::Resumable => Duration::MAX,
     };
-    let pooled = lock(&permit.state.pool).take(&permit.reservation.id, max_idle);
+    let pooled = lock(&permit.state.pool).take(&permit.reservation.instance(), max_idle);
     match pooled {
         Some(channel) => Ok(channel),
         None => Channel::open(permit.reservation.address, CONNECT_TIMEOUT).await,
