The next process at an address does not stand for one that ended

Callers could see a request that ends engine processes go on to do so if its callers leave early and the engines are back at once: the check of an engine at which an attempt was abandoned opens a connection, and the next process at the address accepted it. The earlier one counted as alive, and its crash was forgotten.

Cause: a check told a process only by its address. Ruled out: an earlier check; an engine that is back within milliseconds answers that as well.

Change: if the process is no longer listed and another one is at its address, a check finds that it has ended. The check of an answer that ended with its connection does the same; both use one function. The log line unmarked_end_checked says "ended" instead of "refused".

--- a/crates/core/src/placement/list.rs
+++ b/crates/core/src/placement/list.rs
@@ -8,6 +8,7 @@
     crate::{
         engine::{Engine, Listing},
         id::{Engine as Id, Started},
+        quarantine::Instance,
     },
     std::{
         collections::BTreeMap,
@@ -158,6 +159,13 @@
         self.history.former.contains_key(&(id.into(), started_ms))
     }
 
+    /// Whether another process is listed at the address of one that is no longer listed. That one has
+    /// ended.
+    pub fn is_replaced(&self, instance: &Instance) -> bool {
+        self.is_former(&instance.engine, instance.started)
+            && self.by_address.contains_key(&instance.address)
+    }
+
     /// Removes engines whose listing expired, and returns their ids.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<Id> {
         let expired_id = |(id, entry): (&Id, &Entry)| {
--- a/crates/entry/src/front/proof.rs
+++ b/crates/entry/src/front/proof.rs
@@ -1,16 +1,13 @@
 //! Carries out the checks that show whether an engine's answer is whole.
 
 use {
-    crate::{
-        front::{attempt::Line, state::State, upstream::CONNECT_TIMEOUT},
-        shared::lock,
-    },
+    crate::front::{attempt::Line, quarantine, state::State},
     jayspread_core::{
         placement::Reservation,
         proof::{Action, Fault, Inquiry},
         quarantine::Finding,
     },
-    jayspread_net::{channel::Channel, clock, event},
+    jayspread_net::{clock, event},
     std::{pin::Pin, sync::Arc},
     tokio::time,
 };
@@ -47,13 +44,11 @@
 async fn check(state: &State, reservation: &Reservation) -> Finding {
     let checked_at = clock::now();
     let instance = reservation.instance();
-    let (finding, reason) = match Channel::open(reservation.address, CONNECT_TIMEOUT).await {
-        Ok(channel) => {
-            lock(&state.pool).put(&instance, channel);
-            (Finding::Alive, "accepted")
-        }
-        Err(cause) if cause.is_refused() => (Finding::Ended, "refused"),
-        Err(_) => (Finding::Unknown, "unreachable"),
+    let finding = quarantine::connect(state, &instance).await;
+    let reason = match finding {
+        Finding::Alive => "accepted",
+        Finding::Ended => "ended",
+        Finding::Unknown => "unreachable",
     };
     event!(
         Info,
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -76,25 +76,32 @@
     }
 }
 
-/// Checks whether an engine instance has ended: a process that runs accepts connections.
+/// Checks whether an engine process at which attempts were abandoned has ended.
 async fn check_engine(state: Arc<State>, instance: Instance) {
     let checked_at = clock::now();
     let is_connected = lock(&state.pool).is_connected(&instance);
     let finding = if is_connected {
         Finding::Alive
     } else {
-        match Channel::open(instance.address, CONNECT_TIMEOUT).await {
-            Ok(channel) => {
-                lock(&state.pool).put(&instance, channel);
-                Finding::Alive
-            }
-            Err(cause) if cause.is_refused() => Finding::Ended,
-            Err(_) => Finding::Unknown,
-        }
+        connect(&state, &instance).await
     };
     state.record_finding(&instance, finding, checked_at);
 }
 
+/// Opens a connection to an engine, which shows whether the process has ended: one that runs accepts
+/// it, unless another process listens at the address by now.
+pub async fn connect(state: &State, instance: &Instance) -> Finding {
+    match Channel::open(instance.address, CONNECT_TIMEOUT).await {
+        Ok(_) if lock(&state.engines).is_replaced(instance) => Finding::Ended,
+        Ok(channel) => {
+            lock(&state.pool).put(instance, channel);
+            Finding::Alive
+        }
+        Err(cause) if cause.is_refused() => Finding::Ended,
+        Err(_) => Finding::Unknown,
+    }
+}
+
 /// Passes on what is left of the news before the process ends.
 pub fn flush(state: &State) {
     let news = lock(&state.quarantine).news(MAX_STATEMENTS, clock::now());
