Reports of held pieces count for the process that sent them

An agent that had started again could be asked for pieces that only its earlier process had held in memory: for up to 3 s after the last report of that one, and again after a late datagram of it, which replaced the report of the new one. Each such fetch is refused, and the piece is not asked for there for 3 s. The reverse as well.

Cause: reports were by host alone. Ruled out: leaving out the bodies of all late datagrams: a host whose clock was set back learns of the larger incarnation only from the answers to them.

Change: a report has the incarnation of its datagram; that of an earlier one replaces none, and a report counts only while the membership knows no other incarnation of the host. The reports moved to core. They are forgotten after 3 s, from which they do not count, instead of 60 s. A process that contradicts a suspicion takes a larger incarnation; its pieces count again with its next report, at most 500 ms later while somebody fetches.

The code before had this beside its sockets and was not tested itself.

--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -4,11 +4,12 @@
 use {
     crate::{
         shared::lock,
-        slot::shared::{EntryHost, PeerReport, Shared, Subscriber, WeightSource},
+        slot::shared::{EntryHost, Shared, Subscriber, WeightSource},
     },
     jayspread_core::{
         audience::{Audience, View},
         engine::Rotation,
+        holders::Report,
         id::{Host, Region},
         spread,
     },
@@ -39,7 +40,7 @@
 /// Time without a heartbeat of an entry host, while it gets reports, after which its place goes to
 /// another.
 const ENTRY_TTL: Duration = Duration::from_millis(2_200);
-/// Time for which a silent entry host or agent is remembered.
+/// Time for which a silent entry host is remembered.
 const SILENT_RETENTION: Duration = Duration::from_secs(60);
 /// Time for which an agent that fetches pieces gets reports after it has asked for them.
 const SUBSCRIPTION_TIME: Duration = Duration::from_millis(1_300);
@@ -70,7 +71,8 @@
             }
         }
         Some(Body::Engine(engine)) => {
-            let report = PeerReport {
+            let report = Report {
+                incarnation: packet.incarnation,
                 serving_version: engine.version,
                 held_pieces: engine
                     .spreads
@@ -271,11 +273,11 @@
     }
 }
 
-/// Forgets entry hosts and agents that have been silent for long.
+/// Forgets entry hosts that have been silent for long, and reports that count no more.
 fn expire(shared: &Shared, now: Instant) {
     let is_recent = |at: Instant| now.saturating_duration_since(at) < SILENT_RETENTION;
     lock(&shared.entry_hosts).retain(|_, host| is_recent(host.heard_at));
-    lock(&shared.peer_reports).retain(|_, report| is_recent(report.received_at));
+    lock(&shared.peer_reports).expire(now);
 }
 
 /// Sends the probes that are due; returns the time of the next ones.
--- a/crates/agent/src/slot/shared.rs
+++ b/crates/agent/src/slot/shared.rs
@@ -11,6 +11,7 @@
     },
     jayspread_core::{
         fetch::Count,
+        holders::Reports,
         id::{DataCentre, Host},
         spread::Holder,
         target::Targets,
@@ -23,14 +24,11 @@
         collections::{BTreeMap, BTreeSet},
         net::{Ipv4Addr, SocketAddr},
         sync::{Arc, Mutex},
-        time::{Duration, Instant},
+        time::Instant,
     },
     tokio::sync::{Notify, watch},
 };
 
-/// Age from which another agent's report is ignored.
-const REPORT_TTL: Duration = Duration::from_millis(3_000);
-
 /// Location of a model's weights.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightSource {
@@ -42,17 +40,6 @@
     pub data_centre: DataCentre,
 }
 
-/// Latest report of another agent about its engine.
-#[derive(Debug, Clone)]
-pub struct PeerReport {
-    /// Version that the agent's engine serves; 0 for none.
-    pub serving_version: u64,
-    /// Indices of the pieces that the agent holds in memory, by version.
-    pub held_pieces: BTreeMap<u64, BTreeSet<usize>>,
-    /// Time at which the report arrived.
-    pub received_at: Instant,
-}
-
 /// What an entry host has told this agent.
 #[derive(Debug, Clone, Copy)]
 pub struct EntryHost {
@@ -108,8 +95,8 @@
     pub targets: Mutex<Targets>,
     /// State of the local engine.
     pub engine_state: Mutex<EngineState>,
-    /// Latest reports of other agents, by host.
-    pub peer_reports: Mutex<BTreeMap<Host, PeerReport>>,
+    /// Latest reports of other agents.
+    pub peer_reports: Mutex<Reports>,
     /// Known entry hosts and agents.
     pub roster: Mutex<Roster>,
     /// Entry hosts that have sent heartbeats.
@@ -179,32 +166,23 @@
 
     /// Other agents that hold pieces of `version`, which consists of `count` pieces.
     pub fn holders(&self, version: u64, count: usize) -> BTreeMap<Host, Holder> {
-        let agents = self.agents();
         let now = clock::now();
         let reports = lock(&self.peer_reports);
+        let roster = lock(&self.roster);
         let mut holders = BTreeMap::new();
-        for (host, (_, data_centre)) in agents {
-            let Some(report) = reports.get(&host) else {
-                continue;
-            };
-            if now.saturating_duration_since(report.received_at) >= REPORT_TTL {
-                continue;
-            }
-            let pieces = if let Some(pieces) = report.held_pieces.get(&version) {
-                pieces.clone()
-            } else if report.serving_version == version {
-                // An engine that serves the version still has all its pieces staged.
-                (0..count).collect()
-            } else {
+        for (host, contact) in roster.known_members(Role::Agent) {
+            let incarnation = roster.incarnation(host);
+            let pieces =
+                incarnation.and_then(|known| reports.pieces(host, known, version, count, now));
+            let Some(pieces) = pieces else {
                 continue;
             };
-            let region = self.settings.region(&data_centre).into();
             let holder = Holder {
-                data_centre,
-                region,
+                data_centre: contact.data_centre.clone(),
+                region: contact.region.clone(),
                 pieces,
             };
-            holders.insert(host, holder);
+            holders.insert(host.clone(), holder);
         }
         holders
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fair;
 pub mod fetch;
 pub mod framing;
+pub mod holders;
 pub mod id;
 pub mod load;
 pub mod member;
--- a/crates/core/src/swim.rs
+++ b/crates/core/src/swim.rs
@@ -447,6 +447,11 @@
         self.records.get(host).map(|record| record.standing)
     }
 
+    /// Latest known incarnation of a member.
+    pub fn incarnation_of(&self, host: &str) -> Option<Incarnation> {
+        self.records.get(host).map(|record| record.incarnation)
+    }
+
     /// How to reach a member.
     pub fn contact(&self, host: &str) -> Option<&C> {
         self.records.get(host).map(|record| &record.contact)
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -6,7 +6,7 @@
         event,
     },
     jayspread_core::{
-        id::{DataCentre, Host, Region},
+        id::{DataCentre, Host, Incarnation, Region},
         swim::{self, Change, EAGER_PROBE_PERIOD, Group, Message, PROBE_PERIOD, Standing, Update},
     },
     jayspread_schema::peer::{
@@ -343,6 +343,11 @@
         self.group.contact(host)
     }
 
+    /// Latest known incarnation of a member.
+    pub fn incarnation(&self, host: &str) -> Option<Incarnation> {
+        self.group.incarnation_of(host)
+    }
+
     /// Members with `role` that are alive and not leaving, by name.
     pub fn usable_members(&self, role: Role) -> impl Iterator<Item = (&Host, &Contact)> {
         self.present(move |contact, standing| contact.role == role && standing == Standing::Alive)
