--- a/crates/core/tests/quarantine_abandoned.rs
+++ b/crates/core/tests/quarantine_abandoned.rs
@@ -136,7 +136,7 @@
     }
     let last = start + ms(2_000);
     ledger.record_finding(&later, Finding::Alive, last, last);
-    assert_eq!(ledger.due_checks(last), [earlier.clone()]);
+    assert_eq!(ledger.due_checks(last), std::slice::from_ref(&earlier));
     let ended = ledger.record_finding(&earlier, Finding::Ended, last, last);
     assert_eq!(ended, 1);
     ledger.record_abandoned(&[content("b")], &later, last);
