--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -10,11 +10,7 @@
         shared::lock,
     },
     http::StatusCode,
-    jayspread_core::{
-        framing::End,
-        outlier::Outcome,
-        quarantine::{Instance, Part},
-    },
+    jayspread_core::{framing::End, outlier::Outcome, quarantine::Part},
     jayspread_net::{
         channel::{Channel, Error},
         clock,
@@ -103,8 +99,8 @@
             self.fate = Fate::Settled;
         } else if has_ended {
             self.fate = Fate::Settled;
-            let engine = &self.permit.reservation.id;
-            self.state().record_crash(&self.subject, engine, reason);
+            let instance = self.permit.reservation.instance();
+            self.state().record_crash(&self.subject, &instance, reason);
         } else {
             self.fate = Fate::Failed;
         }
@@ -152,9 +148,9 @@
     async fn linger(mut self) {
         match time::timeout(LINGER_TIME, self.read_rest()).await {
             Ok(Ok(())) => {
-                let engine = self.permit.reservation.id.clone();
+                let instance = self.permit.reservation.instance();
                 let state = Arc::clone(self.state());
-                lock(&state.pool).put(&engine, self.channel);
+                lock(&state.pool).put(&instance, self.channel);
                 return;
             }
             Ok(Err(cause)) => self.record_failure(cause.kind(), 0),
@@ -168,11 +164,7 @@
         if self.fate == Fate::Settled {
             return;
         }
-        let reservation = &self.permit.reservation;
-        let instance = Instance {
-            engine: reservation.id.clone(),
-            address: reservation.address,
-        };
+        let instance = self.permit.reservation.instance();
         self.state()
             .record_abandoned(&self.subject.parts, &instance);
     }
@@ -199,7 +191,7 @@
         if let Some(mut line) = self.0.take() {
             line.settle();
             let state = Arc::clone(line.state());
-            lock(&state.pool).put(&line.permit.reservation.id, line.channel);
+            lock(&state.pool).put(&line.permit.reservation.instance(), line.channel);
         }
     }
 }
--- a/crates/entry/src/front/proof.rs
+++ b/crates/entry/src/front/proof.rs
@@ -1,16 +1,13 @@
 //! Carries out the checks that show whether an engine's answer is whole.
 
 use {
-    crate::{
-        front::{attempt::Line, state::State, upstream::CONNECT_TIMEOUT},
-        shared::lock,
-    },
+    crate::front::{attempt::Line, quarantine, state::State},
     jayspread_core::{
         placement::Reservation,
         proof::{Action, Fault, Inquiry},
         quarantine::Finding,
     },
-    jayspread_net::{channel::Channel, clock, event},
+    jayspread_net::{clock, event},
     std::{pin::Pin, sync::Arc},
     tokio::time,
 };
@@ -46,21 +43,19 @@
 /// here replaces.
 async fn check(state: &State, reservation: &Reservation) -> Finding {
     let checked_at = clock::now();
-    let engine = &reservation.id;
-    let (finding, reason) = match Channel::open(reservation.address, CONNECT_TIMEOUT).await {
-        Ok(channel) => {
-            lock(&state.pool).put(engine, channel);
-            (Finding::Alive, "accepted")
-        }
-        Err(cause) if cause.is_refused() => (Finding::Ended, "refused"),
-        Err(_) => (Finding::Unknown, "unreachable"),
+    let instance = reservation.instance();
+    let finding = quarantine::connect(state, &instance).await;
+    let reason = match finding {
+        Finding::Alive => "accepted",
+        Finding::Ended => "ended",
+        Finding::Unknown => "unreachable",
     };
     event!(
         Info,
         "unmarked_end_checked",
-        engine = engine,
+        engine = instance.engine,
         result = reason
     );
-    state.record_finding(engine, finding, checked_at);
+    state.record_finding(&instance, finding, checked_at);
     finding
 }
--- a/crates/entry/src/front/quarantine.rs
+++ b/crates/entry/src/front/quarantine.rs
@@ -76,23 +76,30 @@
     }
 }
 
-/// Checks whether an engine instance has ended: a process that runs accepts connections.
+/// Checks whether an engine process at which attempts were abandoned has ended.
 async fn check_engine(state: Arc<State>, instance: Instance) {
     let checked_at = clock::now();
-    let is_connected = lock(&state.pool).is_connected(&instance.engine);
+    let is_connected = lock(&state.pool).is_connected(&instance);
     let finding = if is_connected {
         Finding::Alive
     } else {
-        match Channel::open(instance.address, CONNECT_TIMEOUT).await {
-            Ok(channel) => {
-                lock(&state.pool).put(&instance.engine, channel);
-                Finding::Alive
-            }
-            Err(cause) if cause.is_refused() => Finding::Ended,
-            Err(_) => Finding::Unknown,
-        }
+        connect(&state, &instance).await
     };
-    state.record_finding(&instance.engine, finding, checked_at);
+    state.record_finding(&instance, finding, checked_at);
+}
+
+/// Opens a connection to an engine, which shows whether the process has ended: one that runs accepts
+/// it, unless another process listens at the address by now.
+pub async fn connect(state: &State, instance: &Instance) -> Finding {
+    match Channel::open(instance.address, CONNECT_TIMEOUT).await {
+        Ok(_) if lock(&state.engines).is_replaced(instance) => Finding::Ended,
+        Ok(channel) => {
+            lock(&state.pool).put(instance, channel);
+            Finding::Alive
+        }
+        Err(cause) if cause.is_refused() => Finding::Ended,
+        Err(_) => Finding::Unknown,
+    }
 }
 
 /// Passes on what is left of the news before the process ends.
@@ -203,12 +210,12 @@
         }
     }
 
-    /// Records that an engine ended on an attempt, as its connection shows by `reason`.
-    pub fn record_crash(&self, subject: &Subject, engine: &str, reason: &str) {
+    /// Records that an engine process ended on an attempt, as its connection shows by `reason`.
+    pub fn record_crash(&self, subject: &Subject, instance: &Instance, reason: &str) {
         let now = clock::now();
         let mut crash_count = 0;
         self.update_quarantine(now, |ledger| {
-            ledger.record_crash(&subject.parts, engine, now);
+            ledger.record_crash(&subject.parts, instance.crash(), now);
             let content = subject.parts.last();
             crash_count = content.map_or(0, |content| ledger.crash_count(*content));
         });
@@ -216,7 +223,7 @@
             Info,
             "engine_crashed",
             request = subject.request_id,
-            engine = engine,
+            engine = instance.engine,
             reason = reason,
             crashes = crash_count
         );
@@ -256,18 +263,18 @@
         self.quarantine_due.notify_one();
     }
 
-    /// Records what is known of an engine since `checked_at`.
-    pub fn record_finding(&self, engine: &str, finding: Finding, checked_at: Instant) {
+    /// Records what is known of an engine process since `checked_at`.
+    pub fn record_finding(&self, instance: &Instance, finding: Finding, checked_at: Instant) {
         let now = clock::now();
         let mut crash_count = 0;
         self.update_quarantine(now, |ledger| {
-            crash_count = ledger.record_finding(engine, finding, checked_at, now);
+            crash_count = ledger.record_finding(instance, finding, checked_at, now);
         });
         if crash_count > 0 {
             event!(
                 Info,
                 "engine_crashed",
-                engine = engine,
+                engine = instance.engine,
                 reason = "refused",
                 abandoned = crash_count
             );
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -213,10 +213,10 @@
             Err(cause) => {
                 permit.set_outcome(Outcome::Failure, cause.kind());
                 if cause.is_refused() {
-                    let engine = &permit.reservation.id;
+                    let instance = permit.reservation.instance();
                     permit
                         .state
-                        .record_finding(engine, Finding::Ended, permit.sent_at);
+                        .record_finding(&instance, Finding::Ended, permit.sent_at);
                 }
                 return Err(Failure::Unsent(cause.kind()));
             }
@@ -282,7 +282,7 @@
         Kind::Once | Kind::Stream => MAX_IDLE_NON_IDEMPOTENT,
         Kind::Idempotent | Kind::Resumable => Duration::MAX,
     };
-    let pooled = lock(&permit.state.pool).take(&permit.reservation.id, max_idle);
+    let pooled = lock(&permit.state.pool).take(&permit.reservation.instance(), max_idle);
     match pooled {
         Some(channel) => Ok(channel),
         None => Channel::open(permit.reservation.address, CONNECT_TIMEOUT).await,
