All hosts learn of the end of an engine's limit within seconds

What callers saw: after an engine had ended a limit below one request for each host, two hosts of three went on leaving it alone, for up to 18 s (minutes in a large fleet), and refused or queued requests that it could have served.

The host that has the one share of nine learns of the end by its next request. The two others had their turns at 2 and 6 s; the next ones come 18 s later, and stay there when they count three. Nothing tells them of the end.

Ruled out: late discovery (three live hosts from the first request on); an answer that does not end the limit (it ends with the first request of the one host); shares that are too large (the excess is never above zero).

Change: - core::census: the assumed number is a floor beside the peak, not part of it. It holds for 1.5 s, and until an entry host has named the members that this one knows, at most 16.5 s. A host that is cut off when it starts counts nine as long as before; one that is cut off later keeps the peak of 15 s. - Turns are set anew when a host counts fewer, by its place, and not twice in a round, so that hosts whose turns have passed do not come at once. - A host to which its own answer has shown the end tells others with its probes (30 s). Each may send one request at once, and its answer decides. News older than the limit, or than the host's last turn, count for nothing; what a host only heard is not told on, so that news which a paused host reads late cost one request and go no further.

Not lifted on the news alone: the engine may have named another limit since, and all hosts would send.

--- a/crates/core/src/engine/limit.rs
+++ b/crates/core/src/engine/limit.rs
@@ -15,6 +15,17 @@
 const REPORT_LAG: Duration = Duration::from_millis(300);
 /// Time between the turns of two hosts without a share.
 const TURN: Duration = Duration::from_secs(2);
+/// Age from which the end of a limit is no longer told to other hosts.
+const TELLING_TIME: Duration = Duration::from_secs(30);
+
+/// Turns of a host without a share.
+#[derive(Debug, Clone, Copy)]
+struct Turn {
+    /// Time from which the host may send one request, to learn whether the limit still holds.
+    at: Instant,
+    /// Number of hosts that take turns.
+    hosts: usize,
+}
 
 /// Limit of one engine, and the requests that this host has sent there.
 #[derive(Debug, Clone)]
@@ -24,9 +35,12 @@
     /// The reports of the engine's agent state the limit, so that one without it ends the limit.
     is_reported: bool,
     sent: Window,
-    /// Time from which a host without a share may send one request, to learn whether the limit
-    /// still holds. Known from the first time that the limit keeps this host from sending.
-    turn_at: Option<Instant>,
+    /// Next turn of this host; known from the first time that the limit keeps it from sending.
+    turn: Option<Turn>,
+    /// Time of the last request in a turn.
+    last_turn: Option<Instant>,
+    /// Time at which the engine named no limit any more, as its own answer told this host.
+    ended_at: Option<Instant>,
 }
 
 impl Default for Limit {
@@ -35,7 +49,9 @@
             named: None,
             is_reported: false,
             sent: Window::new(WINDOW),
-            turn_at: None,
+            turn: None,
+            last_turn: None,
+            ended_at: None,
         }
     }
 }
@@ -52,7 +68,10 @@
         match rate {
             Some(rate) => self.set(rate, now),
             // An answer to an earlier request may be older than the limit.
-            None if self.named.is_some_and(|(_, at)| sent_at > at) => self.end(),
+            None if self.named.is_some_and(|(_, at)| sent_at > at) => {
+                self.ended_at = Some(sent_at);
+                self.end()
+            }
             None => false,
         }
     }
@@ -70,21 +89,46 @@
         }
     }
 
+    /// Time at which the engine named no limit any more, if other hosts are to be told.
+    pub fn ended_at(&self, now: Instant) -> Option<Instant> {
+        self.ended_at
+            .filter(|at| now.saturating_duration_since(*at) < TELLING_TIME)
+    }
+
+    /// Applies what another host tells: the engine named no limit to it at `ended_at`. If that is
+    /// news, the turn of this host comes at once, and the answer decides; the news may be late, and
+    /// the engine have named another limit since.
+    pub fn hear_end(&mut self, ended_at: Instant, now: Instant) {
+        let Some((_, named_at)) = self.named else {
+            return;
+        };
+        let known_at = self.last_turn.max(Some(named_at));
+        if let Some(turn) = &mut self.turn
+            && known_at < Some(ended_at)
+        {
+            turn.at = turn.at.min(now);
+        }
+    }
+
     fn set(&mut self, rate: f64, now: Instant) -> bool {
+        self.ended_at = None;
         let previous = self.named.replace((rate, now));
         previous.is_none_or(|(previous, _)| previous != rate)
     }
 
     fn end(&mut self) -> bool {
-        self.turn_at = None;
+        self.turn = None;
         self.named.take().is_some()
     }
 
     /// Counts a request that is about to be sent from `place`.
     pub fn record_request(&mut self, place: Place, now: Instant) {
         self.sent.record(now);
-        if self.turn_at.is_some_and(|at| now >= at) {
-            self.turn_at = Some(now + TURN * place.hosts.max(1) as u32);
+        if let Some(turn) = &mut self.turn
+            && now >= turn.at
+        {
+            turn.at = now + turns(place.hosts.max(1));
+            self.last_turn = Some(now);
         }
     }
 
@@ -110,8 +154,28 @@
         if self.is_reported && reports_arrive {
             return WINDOW;
         }
-        let rank = (place.index % place.hosts.max(1)) as u32;
-        let turn_at = *self.turn_at.get_or_insert(named_at + TURN * (rank + 1));
-        turn_at.saturating_duration_since(now)
+        let turn = self.turn.get_or_insert(Turn {
+            at: named_at + first_turn(place),
+            hosts: place.hosts,
+        });
+        if place.hosts < turn.hosts {
+            // Fewer hosts take turns. Those whose turns have passed by this must not come at once,
+            // nor one of them more than once in a round.
+            let first = now + first_turn(place);
+            let next_round = self.last_turn.map(|at| at + turns(place.hosts.max(1)));
+            turn.at = turn.at.min(first.max(next_round.unwrap_or(first)));
+        }
+        turn.hosts = place.hosts;
+        turn.at.saturating_duration_since(now)
     }
 }
+
+/// Time that a number of turns take.
+fn turns(count: usize) -> Duration {
+    TURN * u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+/// Time to the first turn of the host at `place`.
+fn first_turn(place: Place) -> Duration {
+    turns(place.index % place.hosts.max(1) + 1)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod bundle;
 pub mod call;
 pub mod catalog;
+pub mod census;
 pub mod chunk;
 pub mod claim;
 pub mod clamp;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -154,6 +154,30 @@
         entry.is_some_and(|entry| entry.engine.limit.apply_answer(rate, sent_at, now))
     }
 
+    /// Engines that named a limit until recently, the start of their processes and the time since
+    /// which this host knows that they name none.
+    pub fn ended_limits(&self, now: Instant) -> impl Iterator<Item = (&Id, Started, Instant)> {
+        self.entries.iter().filter_map(move |(id, entry)| {
+            let ended_at = entry.engine.limit.ended_at(now)?;
+            Some((id, entry.engine.listing.started_ms, ended_at))
+        })
+    }
+
+    /// Applies what another host tells of the process of an engine that started at `started_ms`: it
+    /// named no limit at `ended_at`.
+    pub fn hear_limit_end(
+        &mut self,
+        id: &str,
+        started_ms: Started,
+        ended_at: Instant,
+        now: Instant,
+    ) {
+        let entry = self.entries.get_mut(id);
+        if let Some(entry) = entry.filter(|entry| entry.engine.listing.started_ms == started_ms) {
+            entry.engine.limit.hear_end(ended_at, now);
+        }
+    }
+
     /// Records that the engine of a reservation wants no request from this host until `until`.
     pub fn rest_until(&mut self, reservation: &Reservation, until: Instant) {
         if let Some(entry) = self.reserved_entry(reservation) {
--- a/crates/core/tests/limit.rs
+++ b/crates/core/tests/limit.rs
@@ -133,3 +133,86 @@
     let wait = limit.wait(place, SUBJECT, reports_arrive, later);
     assert_eq!(wait.is_zero(), takes_turn);
 }
+
+/// A limit below one request for each host, and the subject for which the last of three or nine
+/// hosts has the only request.
+const LOW_RATE: f64 = 0.3;
+const LOW_SUBJECT: u64 = 1;
+
+/// Guards against hosts that wait for the turns of others which are not there, and against all of
+/// them sending at once when they count fewer.
+#[rstest]
+#[case::first_host(0, 7, 2)]
+#[case::second_host(1, 7, 4)]
+#[case::just_had_its_turn(0, 1, 5)]
+fn turns_of_fewer_hosts_come_sooner_and_one_by_one(
+    #[case] index: usize,
+    #[case] age_s: u64,
+    #[case] wait_s: u64,
+) {
+    let start = Instant::now();
+    let mut limit = Limit::default();
+    limit.apply_answer(Some(LOW_RATE), start, start);
+    let nine = Place { index, hosts: 9 };
+    let turn_at = start + limit.wait(nine, LOW_SUBJECT, false, start);
+    limit.record_request(nine, turn_at);
+    let three = Place { index, hosts: 3 };
+    let later = turn_at + Duration::from_secs(age_s);
+    let wait = Duration::from_secs(wait_s);
+    assert_eq!(limit.wait(three, LOW_SUBJECT, false, later), wait);
+}
+
+/// Guards against news of an end that are older than the limit, or are followed more than once. The
+/// limit was named at 1,000 ms; the news come again and again from 60 s on.
+#[rstest]
+#[case::older_than_the_limit(900, 0)]
+#[case::newer(50_000, 1)]
+fn news_of_an_end_let_each_host_ask_once(#[case] ended_ms: u64, #[case] requests: usize) {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let (index, hosts) = (100, 148);
+    let place = Place { index, hosts };
+    let mut limit = Limit::default();
+    limit.apply_answer(Some(LOW_RATE), at(990), at(1_000));
+    let mut sent = 0;
+    for step in 0..200 {
+        let now = at(60_000 + 10 * step);
+        limit.wait(place, LOW_SUBJECT, false, now);
+        limit.hear_end(at(ended_ms), now);
+        if limit.wait(place, LOW_SUBJECT, false, now).is_zero() {
+            limit.record_request(place, now);
+            sent += 1;
+        }
+    }
+    assert_eq!(sent, requests);
+    assert_eq!(limit.ended_at(at(62_000)), None, "only answers are told on");
+}
+
+/// Guards against a large fleet in which hosts without a share use an engine again minutes after the
+/// end of its limit. Each host exchanges what it knows with one other in a round; answers that are
+/// under way at the end of a round are lost.
+#[rstest]
+fn all_hosts_learn_soon_of_the_end_of_a_limit(#[values(3, 9, 148)] hosts: usize) {
+    let round = Duration::from_millis(500);
+    let start = Instant::now();
+    let mut limits = vec![Limit::default(); hosts];
+    for limit in &mut limits {
+        limit.apply_answer(Some(LOW_RATE), start, start);
+    }
+    send(&mut limits, Some(LOW_RATE), start, Duration::from_secs(30));
+    let mut now = start + Duration::from_secs(30);
+    for number in 0..24 {
+        send(&mut limits, None, now, round);
+        now += round;
+        for index in 0..hosts {
+            let other = (31 * index + 17 * number + 1) % hosts;
+            for (from, to) in [(index, other), (other, index)] {
+                if let Some(ended_at) = limits[from].ended_at(now) {
+                    limits[to].hear_end(ended_at, now);
+                }
+            }
+        }
+    }
+    let limited = limits.iter().filter(|limit| limit.rate().is_some()).count();
+    assert_eq!(limited, 0, "hosts that still keep to the limit after 12 s");
+}
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -20,7 +20,9 @@
     },
     jayspread_net::{clock, event, members, reports, targets},
     jayspread_platform::store::Topic,
-    jayspread_schema::peer::{Engine, Entry, Leaving, Packet, Role, Target, packet::Body},
+    jayspread_schema::peer::{
+        Engine, Entry, Leaving, LimitEnd, Packet, Role, Target, packet::Body,
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -36,6 +38,8 @@
 const AGENT_TTL: Duration = Duration::from_millis(2_500);
 /// Largest number of leaving engines that one heartbeat names.
 const MAX_LEAVING: usize = 32;
+/// The same for engines whose limits have ended.
+const MAX_LIMIT_ENDS: usize = 32;
 
 /// Receives datagrams until the task is aborted.
 pub async fn receive(state: Arc<State>) {
@@ -127,6 +131,9 @@
             );
         }
     }
+    for end in &entry.limit_ends {
+        hear_limit_end(state, end);
+    }
     quarantine::catch_up(state, entry.quarantined, from);
     let position = |era, offset| Position { era, offset };
     let offsets = Offsets {
@@ -169,6 +176,15 @@
     }
 }
 
+fn hear_limit_end(state: &State, end: &LimitEnd) {
+    let now = clock::now();
+    // An age beyond the range of the clock is older than any limit that this process knows.
+    let Some(ended_at) = now.checked_sub(Duration::from_millis(end.age_ms)) else {
+        return;
+    };
+    lock(&state.engines).hear_limit_end(&end.engine, end.born_ms, ended_at, now);
+}
+
 /// Applies an agent's report on the load of its engine.
 fn handle_report(state: &State, engine: &Engine, agent_process: u64) {
     let Some(address) = reports::address(engine) else {
@@ -198,14 +214,24 @@
 pub fn entry(state: &State) -> Entry {
     let catalog = state.catalog();
     let offsets = state.offsets();
-    let leaving = {
+    let (leaving, limit_ends) = {
+        let now = clock::now();
         let table = lock(&state.engines);
         let leaving = table.announced_leaving().take(MAX_LEAVING);
         let encode = |(id, born_ms): (&Id, _)| Leaving {
             engine: id.to_string(),
             born_ms,
         };
-        leaving.map(encode).collect()
+        let ends = table.ended_limits(now).take(MAX_LIMIT_ENDS);
+        let encode_end = |(id, born_ms, ended_at): (&Id, _, _)| LimitEnd {
+            engine: id.to_string(),
+            born_ms,
+            age_ms: now.saturating_duration_since(ended_at).as_millis() as u64,
+        };
+        (
+            leaving.map(encode).collect(),
+            ends.map(encode_end).collect(),
+        )
     };
     let quarantined = lock(&state.quarantine).digest(clock::now());
     Entry {
@@ -219,6 +245,7 @@
         news_root: String::new(),
         quarantined,
         leaving,
+        limit_ends,
     }
 }
 
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of an entry host on the platform.
 //!
 //! Lock order: `mirrors`, `catalog`, `stranded`, `targets`, `retry_budgets`, `longest_timeouts`,
-//! `saturated_at`, `engines`, `quarantine`, `roster`, `peers`, `agents`, `peak_hosts`, `pool`,
+//! `saturated_at`, `engines`, `quarantine`, `roster`, `peers`, `agents`, `census`, `pool`,
 //! `pending_news`, `passed_on`, `backlog`. A task holds at most two locks, taken in this order, and none across an await.
 
 use {
@@ -12,6 +12,7 @@
     jayspread_core::{
         backlog::Backlog,
         catalog::{Catalog, Route},
+        census::Census,
         engine::{Engine, Place},
         id::{Host, Service},
         mirror::{Mirror, Position},
@@ -42,14 +43,6 @@
     tracing_appender::non_blocking::ErrorCounter,
 };
 
-/// Time for which the peak number of entry hosts divides the shared limits; a host whose
-/// heartbeats are missing may still send requests.
-const PEAK_HOSTS_WINDOW: Duration = Duration::from_secs(15);
-/// Time after startup during which other hosts may not have been discovered yet.
-const DISCOVERY_PERIOD: Duration = Duration::from_millis(1_500);
-/// Minimum number of entry hosts assumed during discovery, so that hosts that start together do not
-/// overload the engines.
-const ASSUMED_HOSTS: usize = 9;
 /// A request whose timeout is below this percentage of the longest timeout seen on its route counts
 /// as a caller's retry; the timeouts of first tries differ by less.
 const CALLER_RETRY_PERCENT: u32 = 85;
@@ -119,13 +112,6 @@
     pub store_unreachable: bool,
 }
 
-/// Largest recent number of entry hosts and the time at which it was last seen.
-#[derive(Debug, Clone, Copy)]
-struct Peak {
-    count: usize,
-    seen_at: Instant,
-}
-
 /// Shared state of an entry host.
 pub struct State {
     /// Settings read at startup.
@@ -160,7 +146,7 @@
     pub agents: Mutex<BTreeMap<Host, Agent>>,
     /// Services with a model that no engine of this region serves.
     pub stranded: Mutex<BTreeSet<Service>>,
-    peak_hosts: Mutex<Peak>,
+    census: Mutex<Census>,
     /// Start time of this process.
     pub started: Instant,
     /// Idle connections to engines.
@@ -223,10 +209,7 @@
             peers: Mutex::default(),
             agents: Mutex::default(),
             stranded: Mutex::default(),
-            peak_hosts: Mutex::new(Peak {
-                count: 1,
-                seen_at: now,
-            }),
+            census: Mutex::new(Census::new(now)),
             started: now,
             pool: Mutex::default(),
             metrics: Metrics::default(),
@@ -325,22 +308,10 @@
 
     /// Recent peak of the number of live entry hosts, including this one; they share limits.
     pub fn host_count(&self) -> usize {
-        let live = lock(&self.roster).other_entry_hosts() + 1;
-        let now = clock::now();
-        let mut peak = lock(&self.peak_hosts);
-        let discovering = now.saturating_duration_since(self.started) < DISCOVERY_PERIOD;
-        let live = if discovering {
-            live.max(ASSUMED_HOSTS)
-        } else {
-            live
-        };
-        if live >= peak.count || now.saturating_duration_since(peak.seen_at) > PEAK_HOSTS_WINDOW {
-            *peak = Peak {
-                count: live,
-                seen_at: now,
-            };
-        }
-        peak.count
+        let roster = lock(&self.roster);
+        let (others, agrees) = (roster.other_entry_hosts(), roster.has_agreed());
+        drop(roster);
+        lock(&self.census).count(others, agrees, clock::now())
     }
 
     /// This host's place among the live entry hosts.
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -73,6 +73,8 @@
     outbox: Vec<Delivery>,
     /// Number of usable entry hosts whose names precede this one's, and of all others.
     entry_rank: (usize, usize),
+    /// Whether an entry host has named the members that this process knows.
+    has_agreed: bool,
     rng: SmallRng,
 }
 
@@ -104,6 +106,7 @@
             last_remote_list: None,
             outbox: Vec::new(),
             entry_rank: (0, 0),
+            has_agreed: false,
             rng: SmallRng::from_rng(&mut rand::rng()),
         }
     }
@@ -144,7 +147,9 @@
             _ => {}
         }
         self.report(&changes);
-        if packet.digest != 0 && packet.digest != self.group.digest() {
+        let agrees = packet.digest == self.group.digest();
+        self.has_agreed |= agrees && packet.role() == Role::Entry;
+        if packet.digest != 0 && !agrees {
             self.send_list(address, is_regional, now);
         }
         is_new
@@ -328,6 +333,11 @@
         self.entry_rank.1
     }
 
+    /// Whether an entry host has ever named just the members that this process knew then.
+    pub fn has_agreed(&self) -> bool {
+        self.has_agreed
+    }
+
     /// Number of usable entry hosts whose names precede this one's.
     pub fn preceding_entry_hosts(&self) -> usize {
         self.entry_rank.0
