Responses to HEAD have no body; an engine that closes after its head is checked first

Callers of HEAD got 504 at their deadline whenever the engine announced a length: the host waited for the body. The engine was recorded as silent, and a repeatable request was sent to another engine beside it. On a stream route a response to HEAD could only be one that ends before its first event. Apart from that, a sound engine that answered without a length and without a body, and closed, was recorded as crashed on the request at once (engine_crashed), so that two such answers could quarantine the request.

Cause: the framing did not know the method of the request, and the end of the connection right after a head counted as a crash by itself.

core::framing takes the method now; the channel reads it from the head that it sends. A HEAD request takes the way of plain requests also on stream routes, and its answer clears no suspicion of a part of the prompt, since it does not show that the engine has run it. An end after a head without a length (and, in a stream, before the first event) goes through core::proof: an engine that refuses connections then has crashed on the request, as before; otherwise the attempt is checked later like one that was abandoned. The answer itself stays broken in both cases: lost, and never sent again if it may not be repeated.

Ruled out: an empty body from an engine that goes on as a whole answer.

--- a/crates/core/src/framing.rs
+++ b/crates/core/src/framing.rs
@@ -48,9 +48,16 @@
 
 impl std::error::Error for Fault {}
 
-/// Fields of a response head that determine its framing.
+/// Whether a request with this method asks for the head of a response only.
+pub fn is_head_only(method: &[u8]) -> bool {
+    method == b"HEAD"
+}
+
+/// What determines the framing of a response: its request's method and the fields of its head.
 #[derive(Debug, Clone, Default)]
 pub struct Fields<'a> {
+    /// Method of the request.
+    pub method: &'a [u8],
     /// Status code.
     pub status: u16,
     /// Whether the response is in HTTP/1.0.
@@ -64,7 +71,7 @@
 impl Fields<'_> {
     /// How the end of the body is marked.
     pub fn framing(&self) -> Result<Framing, Fault> {
-        if matches!(self.status, 100..200 | 204 | 304) {
+        if is_head_only(self.method) || matches!(self.status, 100..200 | 204 | 304) {
             return Ok(Framing::Empty);
         }
         let length = self.length()?;
--- a/crates/core/src/proof.rs
+++ b/crates/core/src/proof.rs
@@ -24,6 +24,8 @@
     Ended,
     /// Nothing shows that the engine goes on.
     Unproven,
+    /// The engine goes on, but has sent nothing that shows its answer.
+    Empty,
 }
 
 impl Fault {
@@ -32,6 +34,7 @@
         match self {
             Fault::Ended => "ended",
             Fault::Unproven => "unproven",
+            Fault::Empty => "empty",
         }
     }
 }
@@ -52,6 +55,8 @@
 pub struct Inquiry {
     ended: Instant,
     action: Action,
+    /// What is to be done if the engine goes on.
+    if_alive: Action,
 }
 
 impl Inquiry {
@@ -61,7 +66,20 @@
             End::Marked => Action::Accept,
             End::Closed => Action::Check(ended + SETTLE_TIME),
         };
-        Self { ended, action }
+        Self {
+            ended,
+            action,
+            if_alive: Action::Accept,
+        }
+    }
+
+    /// Begins when a connection was closed in order at `ended` before anything of the body that
+    /// counts. That is no answer, but only the check tells whether the engine has crashed.
+    pub fn without_content(ended: Instant) -> Self {
+        Self {
+            if_alive: Action::Reject(Fault::Empty),
+            ..Self::new(End::Closed, ended)
+        }
     }
 
     /// What is to be done next.
@@ -76,7 +94,7 @@
         }
         let next = now + CHECK_INTERVAL;
         self.action = match finding {
-            Finding::Alive => Action::Accept,
+            Finding::Alive => self.if_alive,
             Finding::Ended => Action::Reject(Fault::Ended),
             Finding::Unknown if next < self.ended + MAX_CHECK_TIME => Action::Check(next),
             Finding::Unknown => Action::Reject(Fault::Unproven),
--- a/crates/core/tests/framing.rs
+++ b/crates/core/tests/framing.rs
@@ -8,6 +8,7 @@
 
 fn framing(status: u16, codings: &[&str], lengths: &[&str]) -> Result<Framing, Fault> {
     let fields = Fields {
+        method: b"GET",
         status,
         is_http_10: false,
         codings: codings.iter().map(|value| value.as_bytes()).collect(),
@@ -53,6 +54,7 @@
 #[test]
 fn http_10_has_no_chunks() {
     let fields = Fields {
+        method: b"GET",
         status: 200,
         is_http_10: true,
         codings: vec![b"chunked"],
@@ -61,6 +63,22 @@
     assert_eq!(fields.framing(), Err(Fault::Coding));
 }
 
+/// Guards against a body that is awaited after a response to HEAD, whatever its fields announce.
+#[rstest]
+#[case::length(&[], &["5"])]
+#[case::chunks(&["chunked"], &[])]
+#[case::neither(&[], &[])]
+fn response_to_head_has_no_body(#[case] codings: &[&str], #[case] lengths: &[&str]) {
+    let fields = Fields {
+        method: b"HEAD",
+        status: 200,
+        is_http_10: false,
+        codings: codings.iter().map(|value| value.as_bytes()).collect(),
+        lengths: lengths.iter().map(|value| value.as_bytes()).collect(),
+    };
+    assert_eq!(fields.framing(), Ok(Framing::Empty));
+}
+
 /// Guards against a response that looks whole although its sender stopped after the head or inside
 /// the body.
 #[rstest]
--- a/crates/core/tests/proof.rs
+++ b/crates/core/tests/proof.rs
@@ -57,6 +57,19 @@
     assert_eq!(action, expected);
 }
 
+/// Guards against a sound engine that is held to have crashed because it closed without a body, and
+/// against an empty answer that counts as whole.
+#[rstest]
+#[case::alive(Finding::Alive, Fault::Empty)]
+#[case::ended(Finding::Ended, Fault::Ended)]
+fn empty_answer_is_never_whole(#[case] finding: Finding, #[case] fault: Fault) {
+    let ended = Instant::now();
+    let mut inquiry = Inquiry::without_content(ended);
+    assert!(matches!(inquiry.action(), Action::Check(at) if at > ended));
+    inquiry.record(finding, ended);
+    assert_eq!(inquiry.action(), Action::Reject(fault));
+}
+
 /// A crash closes the listener of an engine after its connections, or before.
 #[test]
 fn first_check_waits_until_a_crash_is_over() {
@@ -89,6 +102,7 @@
             Action::Accept => prop_assert_eq!(first, Some(&Finding::Alive)),
             Action::Reject(Fault::Ended) => prop_assert_eq!(first, Some(&Finding::Ended)),
             Action::Reject(Fault::Unproven) => {}
+            Action::Reject(Fault::Empty) => prop_assert!(false, "content was received"),
             Action::Check(_) => prop_assert!(false, "no end of {:?}", findings),
         }
         prop_assert!(delay <= MAX_DELAY + check_time);
--- a/crates/entry/src/front/attempt.rs
+++ b/crates/entry/src/front/attempt.rs
@@ -42,6 +42,8 @@
     pub parts: Arc<[Part]>,
     /// Whether the answer is a stream.
     pub is_stream: bool,
+    /// Whether the answer has a head only, which does not show that the engine has run the request.
+    pub is_head_only: bool,
     /// Time by which the engine must have begun, if its version is an old one.
     pub begin_by: Option<Instant>,
 }
@@ -95,10 +97,7 @@
         if self.fate != Fate::Open {
             return;
         }
-        let has_ended = matches!(
-            reason,
-            "broken" | "ended" | "empty" | "ended_inside_an_event"
-        );
+        let has_ended = matches!(reason, "broken" | "ended" | "ended_inside_an_event");
         if events > MAX_EVENTS_BEFORE_CRASH {
             self.fate = Fate::Settled;
         } else if has_ended {
@@ -112,7 +111,9 @@
 
     /// Records that the engine has sent its whole answer.
     pub fn record_answer(&mut self) {
-        if self.channel.end() == Some(End::Marked) {
+        if self.subject.is_head_only {
+            self.settle();
+        } else if self.channel.end() == Some(End::Marked) {
             self.record_completion();
         } else if self.fate == Fate::Open {
             self.fate = Fate::Settled;
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -20,6 +20,7 @@
     jayspread_core::{
         call::{Action, Call, Event as CallEvent},
         catalog::{Catalog, Organisation, Route},
+        framing,
         id::Engine,
         placement::{Choice, Refusal, Reservation},
         quarantine::Part,
@@ -255,6 +256,8 @@
             urgency: self.call.response_started().then_some(0),
         };
         let head = wire::encode_request(&self.parts, self.body.len(), &forward);
+        let is_head_only = framing::is_head_only(self.parts.method.as_str().as_bytes());
+        let is_stream = self.route.kind.is_stream() && !is_head_only;
         let begin_by = choice
             .version_left
             .map(|left| clock::now() + left.saturating_sub(WITHDRAWAL_MARGIN));
@@ -264,7 +267,8 @@
             subject: Subject {
                 request_id: self.request.id.clone(),
                 parts: Arc::clone(&self.prompt_parts),
-                is_stream: self.route.kind.is_stream(),
+                is_stream,
+                is_head_only,
                 begin_by,
             },
             kind: self.route.kind,
@@ -278,7 +282,7 @@
             Run::first(last)
         };
         self.call.handle(event);
-        if self.route.kind.is_stream() {
+        if is_stream {
             let expected = Expected {
                 run,
                 deadline: self.deadline,
--- a/crates/entry/src/front/flight.rs
+++ b/crates/entry/src/front/flight.rs
@@ -11,8 +11,8 @@
         upstream::{self, Failure, Permit},
     },
     http::{HeaderMap, Response, StatusCode},
-    jayspread_core::{id::Engine, outlier::Outcome, placement::Reservation},
-    jayspread_net::clock,
+    jayspread_core::{id::Engine, outlier::Outcome, placement::Reservation, proof::Fault},
+    jayspread_net::{channel::Error, clock},
     jayspread_platform::header as wire,
     std::{
         future::{self, Future},
@@ -141,6 +141,13 @@
     let reading = attempt.channel.receive_body(MAX_RESPONSE_BYTES);
     let body = match time::timeout_at(deadline.into(), reading).await {
         Ok(Ok(body)) => body,
+        Ok(Err(Error::Empty)) => {
+            let explaining = time::timeout_at(deadline.into(), proof::explain(&attempt)).await;
+            let fault = explaining.map_or(Some(Fault::Unproven), Result::err);
+            let reason = fault.map_or(Error::Empty.kind(), Fault::name);
+            attempt.record_failure(reason, 0);
+            return Err(Failure::Lost(reason));
+        }
         Ok(Err(cause)) => {
             attempt.record_failure(cause.kind(), 0);
             return Err(Failure::Lost(cause.kind()));
--- a/crates/entry/src/front/proof.rs
+++ b/crates/entry/src/front/proof.rs
@@ -24,9 +24,18 @@
         // Nothing has ended, so nothing shows that it is whole.
         return Box::pin(async { Err(Fault::Unproven) });
     };
+    inquire(line, Inquiry::new(end, clock::now()))
+}
+
+/// Checks what has become of the engine that closed the connection of `line` in order before anything
+/// that counts. Never succeeds.
+pub fn explain(line: &Line) -> Pending {
+    inquire(line, Inquiry::without_content(clock::now()))
+}
+
+fn inquire(line: &Line, mut inquiry: Inquiry) -> Pending {
     let state = Arc::clone(line.permit.state());
     let reservation = line.permit.reservation.clone();
-    let mut inquiry = Inquiry::new(end, clock::now());
     Box::pin(async move {
         loop {
             match inquiry.action() {
--- a/crates/entry/src/front/stream.rs
+++ b/crates/entry/src/front/stream.rs
@@ -23,7 +23,11 @@
         silence::Awaited,
         sse::{Event, Splitter},
     },
-    jayspread_net::{channel::Head, clock, panic::Panic},
+    jayspread_net::{
+        channel::{Error, Head},
+        clock,
+        panic::Panic,
+    },
     std::{
         sync::{Arc, atomic::AtomicBool},
         time::{Duration, Instant},
@@ -142,16 +146,18 @@
         if !self.splitter.is_empty() {
             return Next::Broken("ended_inside_an_event");
         }
-        let end = self.response.attempt.channel.end();
-        if self.event_count == 0 && end != Some(End::Marked) {
-            // The engine may have crashed before its first event.
-            return Next::Broken("empty");
-        }
-        if let Err(fault) = self.expected.run.check_end() {
+        let attempt = &self.response.attempt;
+        // The engine may have crashed before its first event.
+        let is_open = self.event_count == 0 && attempt.channel.end() != Some(End::Marked);
+        if !is_open && let Err(fault) = self.expected.run.check_end() {
             return Next::Broken(fault.name());
         }
-        let attempt = &self.response.attempt;
-        let proof = self.proof.get_or_insert_with(|| proof::prove(attempt));
+        let prove = if is_open {
+            proof::explain
+        } else {
+            proof::prove
+        };
+        let proof = self.proof.get_or_insert_with(|| prove(attempt));
         match time::timeout_at(self.expected.deadline.into(), proof).await {
             Ok(Ok(())) => Next::End,
             Ok(Err(fault)) => Next::Broken(fault.name()),
@@ -193,7 +199,7 @@
                         return Next::Broken("event_too_long");
                     }
                 }
-                Ok(Ok(None)) => return self.conclude().await,
+                Ok(Ok(None) | Err(Error::Empty)) => return self.conclude().await,
                 Ok(Err(cause)) => return Next::Broken(cause.kind()),
                 Err(_) => {}
             }
--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -109,6 +109,8 @@
     incoming: BytesMut,
     /// Bytes of the request that are not yet sent.
     outgoing: BytesMut,
+    /// Method of the request.
+    method: Box<[u8]>,
     /// At least one byte of the request was sent.
     any_sent: bool,
     /// Number of requests queued so far.
@@ -133,6 +135,7 @@
             stream,
             incoming: BytesMut::new(),
             outgoing: BytesMut::new(),
+            method: Box::default(),
             any_sent: false,
             request_count: 0,
             progress: Progress::Idle,
@@ -150,6 +153,8 @@
             self.outgoing.is_empty(),
             "previous request is not fully sent"
         );
+        let method = head.split(|byte| *byte == b' ').next();
+        self.method = method.unwrap_or_default().into();
         self.outgoing.extend_from_slice(head);
         self.outgoing.extend_from_slice(body);
         self.any_sent = false;
@@ -324,7 +329,11 @@
             return Ok(());
         }
         self.must_close = true;
-        let end = self.progress.end_at_close().ok_or(Error::Truncated)?;
+        let broken = match self.progress {
+            Progress::UntilClose(0) => Error::Empty,
+            _ => Error::Truncated,
+        };
+        let end = self.progress.end_at_close().ok_or(broken)?;
         self.finish_response(end);
         Ok(())
     }
@@ -450,6 +459,7 @@
             values.map(HeaderValue::as_bytes).collect()
         };
         let fields = Fields {
+            method: &self.method,
             status: status.as_u16(),
             is_http_10,
             codings: values(header::TRANSFER_ENCODING),
--- a/crates/net/src/channel/error.rs
+++ b/crates/net/src/channel/error.rs
@@ -13,6 +13,9 @@
     Broken(io::Error),
     /// The server closed the connection before the end of the response.
     Truncated,
+    /// The server closed the connection after a head without a length, which may be the whole
+    /// response.
+    Empty,
     /// The response is malformed or too long.
     Malformed(&'static str),
 }
@@ -35,6 +38,7 @@
             Error::Unsent(_) => "unsent",
             Error::Broken(_) => "broken",
             Error::Truncated => "ended",
+            Error::Empty => "empty",
             Error::Malformed(_) => "malformed",
         }
     }
@@ -47,6 +51,7 @@
             Error::Unsent(cause) => write!(f, "could not send: {cause}"),
             Error::Broken(cause) => write!(f, "connection failed: {cause}"),
             Error::Truncated => write!(f, "connection closed before the end of the response"),
+            Error::Empty => write!(f, "connection closed after a head without a length"),
             Error::Malformed(reason) => write!(f, "malformed response: {reason}"),
         }
     }
--- a/crates/net/tests/channel.rs
+++ b/crates/net/tests/channel.rs
@@ -54,6 +54,8 @@
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
+const HEAD_REQUEST: &[u8] = b"HEAD / HTTP/1.1\r\nHost: x\r\n\r\n";
+
 async fn exchange(response: &'static [u8], reset: bool) -> (Channel, Result<Vec<u8>, Error>) {
     let address = server(vec![response], reset).await;
     let mut channel = Channel::open(address, TIMEOUT).await.expect("connects");
@@ -150,6 +152,29 @@
     assert!(!channel.is_reusable(TIMEOUT));
 }
 
+/// Guards against a response to HEAD whose announced body is awaited, and against one to another
+/// request that is taken for it.
+#[rstest]
+#[case::length(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")]
+#[case::chunks(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")]
+#[case::neither(b"HTTP/1.1 200 OK\r\n\r\n")]
+#[tokio::test]
+async fn response_to_head_ends_after_its_head(#[case] head: &'static [u8]) {
+    let next = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    let address = server(vec![head, next], false).await;
+    let mut channel = Channel::open(address, TIMEOUT).await.expect("connects");
+    for (request, expected) in [(HEAD_REQUEST, &b""[..]), (REQUEST, b"hello")] {
+        channel.queue_request(request, b"");
+        let receive = async {
+            channel.receive_head().await?;
+            channel.receive_body(1 << 16).await
+        };
+        let body = time::timeout(TIMEOUT, receive).await.expect("in time");
+        assert_eq!(body.expect("is whole"), expected);
+        assert!(channel.is_clean());
+    }
+}
+
 /// Guards against a success with an empty or short body when a server stops in the middle of its head.
 #[rstest]
 #[case::length(b"HTTP/1.1 200 OK\r\nSeal: x\r\nContent-Length: 0\r\n\r\n")]
