A broken answer to a caller of HTTP/1.0 ends with a reset

A caller of HTTP/1.0 on a stream route gets an answer with neither a length nor chunks. When such an answer was aborted, or cut off by the end of the process, its connection ended in order, and the caller took what it had for the whole answer.

Cause: all ends but those of a failed socket went through shut_down, or dropped the stream, whose kernel then sends a FIN.

core::framing says how the end of an answer of this host is marked. If only the connection marks it, the stream is set to be reset when it is dropped as soon as the answer begins, and that is taken back when the answer is complete; so every other end is a reset, also that of a process that is killed. Before the reset of an aborted answer the host waits up to a second until the caller has what was sent, since a reset discards the rest. Answers in chunks or with a length end as before.

Ruled out: a reset for every aborted answer. In HTTP/1.1 the missing last chunk shows the abort, and a reset may cost the caller the last events.

Evidence: answer_without_a_mark_ends_in_order_only_if_it_is_whole failed on the code before for the aborted and the cut-off answer (read to an orderly end) and passed for the whole one; now all three pass, with the other 20 tests of entry/tests/connection.rs. Not run: a process that is killed.

--- a/crates/core/src/framing.rs
+++ b/crates/core/src/framing.rs
@@ -130,6 +130,17 @@
     std::str::from_utf8(text).ok()?.parse().ok()
 }
 
+impl Framing {
+    /// Framing of an answer of this host, whose length is known or not.
+    pub fn of_answer(length: Option<u64>, is_http_10: bool) -> Self {
+        match length {
+            Some(length) => Framing::Length(length),
+            None if is_http_10 => Framing::Close,
+            None => Framing::Chunks,
+        }
+    }
+}
+
 /// How a body ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -6,11 +6,19 @@
         problem::Problem,
         socket::{Progress, Socket},
     },
-    http::{HeaderName, HeaderValue, Request, Response, header},
+    http::{HeaderName, HeaderValue, Request, Response, Version, header},
     http_body_util::BodyExt,
-    hyper::{Error, body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        Error,
+        body::{Body as _, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::TokioIo,
-    jayspread_core::connection::{Limits, Stage},
+    jayspread_core::{
+        connection::{Limits, Stage},
+        framing::Framing,
+    },
     jayspread_net::{caller, clock, event, inspection, panic},
     std::{
         convert::Infallible,
@@ -18,7 +26,7 @@
         fmt, io,
         sync::{
             Arc, OnceLock,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -32,6 +40,8 @@
 const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Longest such time for a caller that still takes its last response.
 const MAX_LINGER_TIME: Duration = Duration::from_secs(30);
+/// Interval between checks whether a caller has all that was sent.
+const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Size of the buffer in which what is still read is discarded, bytes.
 const LINGER_BUFFER_BYTES: usize = 4 << 10;
 /// Response to a head that takes too long.
@@ -147,6 +157,10 @@
             // An aborted response leaves the sending direction open.
             End::Closed => shut_down(&stream),
             End::Failed => return,
+            End::Broken => {
+                progress.close();
+                return await_delivery(&stream).await;
+            }
             End::CutOff => return report_cut_off(progress.stage()),
             End::HeadTooSlow => refuse(&stream, HEAD_TOO_SLOW, "head_too_slow"),
             End::Stopping => refuse(&stream, STOPPING, "stopping"),
@@ -167,6 +181,8 @@
     Closed,
     /// The socket failed, or its peer was given up: nothing more can be sent or read.
     Failed,
+    /// The answer was broken off, and only a reset shows that to the caller.
+    Broken,
     /// The process exits.
     CutOff,
     /// The caller took too long to send a head.
@@ -191,11 +207,13 @@
     let ending = Ending::default();
     let mut shutdown = settings.shutdown;
     let stop = shutdown.clone();
+    let is_unmarked = AtomicBool::new(false);
     let service = service_fn(|mut request: Request<Incoming>| {
+        let is_http_10 = request.version() == Version::HTTP_10;
         let in_flight = InFlight::new(&in_flight, progress);
         request.extensions_mut().insert(ending.clone());
         let response = async { handler(request).await };
-        let (stop, limits) = (&stop, &settings.limits);
+        let (stop, limits, is_unmarked) = (&stop, &settings.limits, &is_unmarked);
         async move {
             let mut response = panic::catch_async(response).await.unwrap_or_else(|panic| {
                 event!(Error, "handler_panicked", message = panic);
@@ -210,6 +228,12 @@
                 progress.promise(idle);
                 response.headers_mut().insert(KEEP_ALIVE, keep_alive);
             }
+            let length = response.body().size_hint().exact();
+            if Framing::of_answer(length, is_http_10) == Framing::Close {
+                // Whatever ends the connection now, it looks whole to the caller if it ends in order.
+                is_unmarked.store(true, Ordering::Release);
+                caller::reset_on_drop(stream, true);
+            }
             // The closure owns the guard, so the request is in flight until the body is dropped.
             Ok::<_, Infallible>(response.map(|body| {
                 body.map_err(move |aborted| {
@@ -241,11 +265,18 @@
         tokio::select! {
             biased;
             result = connection.as_mut() => {
+                let is_unmarked = is_unmarked.load(Ordering::Acquire);
                 if let Err(cause) = result {
                     report_end(&cause, in_flight.load(Ordering::Acquire), &ending);
                     if is_socket_error(&cause) {
                         return End::Failed;
                     }
+                    if is_unmarked {
+                        return End::Broken;
+                    }
+                }
+                if is_unmarked {
+                    caller::reset_on_drop(stream, false);
                 }
                 return End::Closed;
             }
@@ -322,6 +353,14 @@
     }
 }
 
+/// Waits for a limited time until the caller has all that was sent: a reset discards the rest.
+async fn await_delivery(stream: &TcpStream) {
+    let ends_at = clock::now() + LINGER_TIME;
+    while has_unacknowledged(stream) && clock::now() < ends_at {
+        time::sleep(DELIVERY_CHECK_INTERVAL).await;
+    }
+}
+
 /// Reads and counts what the caller sends until it closes the connection.
 async fn discard(stream: &TcpStream, unread_bytes: &mut usize) -> io::Result<()> {
     let mut buffer = [0; LINGER_BUFFER_BYTES];
--- a/crates/entry/tests/connection.rs
+++ b/crates/entry/tests/connection.rs
@@ -418,3 +418,31 @@
     time::sleep(Duration::from_millis(100)).await;
     assert_eq!(server.in_hand.load(Ordering::Relaxed), 0);
 }
+
+/// Guards against a part of an answer that looks whole to a caller of HTTP/1.0, to whom only the end of
+/// the connection shows that of the answer.
+#[rstest]
+#[case::aborted("/aborted", None, SECOND_EVENT)]
+#[case::cut_off("/late", Some(Shutdown::CutOff), b"end")]
+#[case::whole("/late", None, b"end")]
+#[tokio::test]
+async fn answer_without_a_mark_ends_in_order_only_if_it_is_whole(
+    #[case] path: &str,
+    #[case] shutdown: Option<Shutdown>,
+    #[case] last: &[u8],
+) {
+    let server = Server::open(TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("connects");
+    let request = format!("GET {path} HTTP/1.0\r\nHost: test\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.expect("writes");
+    if let Some(shutdown) = shutdown {
+        time::sleep(STREAM_TIME * 3 / 2).await;
+        server.shutdown.send_replace(shutdown);
+    }
+    let mut received = Vec::new();
+    let read = time::timeout(TIMEOUT, stream.read_to_end(&mut received)).await;
+    let is_whole = path == "/late" && shutdown.is_none();
+    assert_eq!(read.expect("in time").is_ok(), is_whole);
+    let text = String::from_utf8_lossy(&received);
+    assert!(received.ends_with(last), "{text}");
+}
--- a/crates/net/src/caller.rs
+++ b/crates/net/src/caller.rs
@@ -129,14 +129,7 @@
             written = sample.written,
             unacknowledged = sample.queue.map_or(0, |queue| queue.unacknowledged)
         );
-        if let Err(cause) = self.stream.set_zero_linger() {
-            event!(
-                Debug,
-                "socket_option_failed",
-                option = "linger",
-                reason = cause
-            );
-        }
+        reset_on_drop(&self.stream, true);
     }
 
     fn poll_write_with(
@@ -214,6 +207,19 @@
     }
 }
 
+/// Sets whether a stream is reset when it is dropped, also by the end of the process.
+pub fn reset_on_drop(stream: &TcpStream, is_reset: bool) {
+    let linger = is_reset.then_some(Duration::ZERO);
+    if let Err(cause) = SockRef::from(stream).set_linger(linger) {
+        event!(
+            Debug,
+            "socket_option_failed",
+            option = "linger",
+            reason = cause
+        );
+    }
+}
+
 /// Ends the sending direction of a stream.
 pub fn shut_down(stream: &TcpStream) -> io::Result<()> {
     SockRef::from(stream).shutdown(Shutdown::Write)
