A single large answer does not close its route to other requests

Callers would see refusals (slow_readers) on a route with answers of very different sizes: after one of 8 MiB, each request on it reserved 8 MiB for up to a minute, and a host with 260 MB let in nine at once.

Ruled out: to reserve nothing for such routes, which is the fault that the reservation closes; a share of the largest, which fits no route.

Change: the mean of the recent answers is reserved. The sum of the requests in progress is what must fit, and many large answers raise the mean. Large ones between many small ones count only when they are whole.

--- a/crates/core/src/backlog.rs
+++ b/crates/core/src/backlog.rs
@@ -1,8 +1,9 @@
 //! Bound on the memory that is held for answers which callers have not taken yet.
 //!
 //! What is held is never given up for it: a request is refused on arrival if its answer might not fit
-//! beside those held and those expected for the requests in progress. An answer is expected to be as
-//! large as the largest recent one of its route.
+//! beside those held and those expected for the requests in progress. An answer is expected to have
+//! the mean size of the recent ones of its route: a single large one must not fill the memory on
+//! paper, and many of them raise the mean.
 
 use std::{
     collections::BTreeMap,
@@ -20,6 +21,13 @@
 const MIN_WAIT: Duration = Duration::from_millis(100);
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
+/// Number and total size of answers.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sizes {
+    count: u64,
+    bytes: u64,
+}
+
 /// Counts the bytes of answers that are held or expected.
 #[derive(Debug, Clone)]
 pub struct Backlog {
@@ -29,8 +37,8 @@
     held: u64,
     /// Number of bytes reserved for the answers of requests in progress.
     reserved: u64,
-    /// Size of the largest answer of each route in the current period and in the one before, bytes.
-    sizes: [BTreeMap<Box<str>, u64>; 2],
+    /// Answers of each route in the current period and in the one before.
+    sizes: [BTreeMap<Box<str>, Sizes>; 2],
     /// Beginning of the current period of sizes.
     sizes_start: Instant,
     /// Number of bytes released in the current period and in the one before.
@@ -79,12 +87,18 @@
     /// Records the size of an answer of a route.
     pub fn record(&mut self, route: &str, bytes: u64, now: Instant) {
         self.turn_sizes(now);
-        match self.sizes[0].get_mut(route) {
-            Some(largest) => *largest = bytes.max(*largest),
-            None => {
-                self.sizes[0].insert(route.into(), bytes);
-            }
-        }
+        let sizes = self.sizes[0].entry(route.into()).or_default();
+        sizes.count += 1;
+        sizes.bytes = sizes.bytes.saturating_add(bytes);
+    }
+
+    /// Size that an answer of a route is expected to have, bytes.
+    fn expected(&self, route: &str) -> u64 {
+        let sizes = self.sizes.iter().filter_map(|sizes| sizes.get(route));
+        let (count, bytes) = sizes.fold((0, 0_u64), |(count, bytes), sizes| {
+            (count + sizes.count, bytes.saturating_add(sizes.bytes))
+        });
+        bytes.checked_div(count).unwrap_or(0)
     }
 
     /// Reserves memory for the answer of a new request; returns the number of bytes, to be given back
@@ -96,8 +110,7 @@
     /// The time after which the answer will fit if answers are taken at the rate of the last seconds.
     pub fn reserve(&mut self, route: &str, now: Instant) -> Result<u64, Duration> {
         self.turn_sizes(now);
-        let sizes = self.sizes.iter().filter_map(|sizes| sizes.get(route));
-        let expected = sizes.max().copied().unwrap_or(0);
+        let expected = self.expected(route);
         let used = self.held + self.reserved;
         if used < self.limit && (used == 0 || used + expected <= self.limit) {
             self.reserved += expected;
