A refusal for want of memory says so

Callers were told slow_readers also when no caller read slowly: since memory is reserved for the answers of requests in progress, a burst is refused with the same reason.

Cause: the reason was named when only answers that callers had not taken counted. Ruled out: two reasons; the caller does the same on either, and the dump shows held and reserved bytes apart.

The reservation's type is named Allocation, and a comment is plainer.

--- a/crates/core/src/backlog.rs
+++ b/crates/core/src/backlog.rs
@@ -2,8 +2,8 @@
 //!
 //! What is held is never given up for it: a request is refused on arrival if its answer might not fit
 //! beside those held and those expected for the requests in progress. An answer is expected to have
-//! the mean size of the recent ones of its route: a single large one must not fill the memory on
-//! paper, and many of them raise the mean.
+//! the mean size of the recent ones of its route: a single large one must not close the route to
+//! others, and many of them raise the mean.
 
 use std::{
     collections::BTreeMap,
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -6,7 +6,7 @@
             attempt::Subject,
             connection::Ending,
             flight::{self, Answer, Flight, Flights},
-            held::Room,
+            held::Allocation,
             problem::Problem,
             state::State,
             stream::Expected,
@@ -105,7 +105,7 @@
     pub trace: Option<Trace>,
     /// Memory reserved for the answer, until the body of the answer is held.
     #[expect(dead_code, reason = "gives the memory back when dropped")]
-    pub room: Room,
+    pub allocation: Allocation,
 }
 
 impl Drop for Exchange {
--- a/crates/entry/src/front/held.rs
+++ b/crates/entry/src/front/held.rs
@@ -8,12 +8,12 @@
 };
 
 /// Memory reserved for the answer of a request in progress; given back when dropped.
-pub struct Room {
+pub struct Allocation {
     bytes: u64,
     state: Arc<State>,
 }
 
-impl Room {
+impl Allocation {
     /// Reserves memory for the answer of a request on a route.
     ///
     /// # Errors
@@ -28,7 +28,7 @@
     }
 }
 
-impl Drop for Room {
+impl Drop for Allocation {
     fn drop(&mut self) {
         lock(&self.state.backlog).cancel(self.bytes);
     }
--- a/crates/entry/src/front/relay.rs
+++ b/crates/entry/src/front/relay.rs
@@ -6,7 +6,7 @@
             body::Body,
             exchange::Exchange,
             flight::{Answer, Flights, build_response},
-            held::Room,
+            held::Allocation,
             problem::{PANIC_RETRY_AFTER, Problem},
             state::State,
             stream::Stream,
@@ -109,7 +109,7 @@
         request,
         route,
         organisation,
-        room,
+        allocation,
     } = admitted;
     let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
@@ -165,7 +165,7 @@
         is_probe: false,
         is_caller_retry,
         trace: Some(trace),
-        room,
+        allocation,
     })
 }
 
@@ -175,7 +175,7 @@
     request: wire::Request,
     route: Arc<Route>,
     organisation: Option<Arc<Organisation>>,
-    room: Room,
+    allocation: Allocation,
 }
 
 /// Validates the head of a request.
@@ -208,14 +208,14 @@
     if !state.allows(Step::Begin, need) {
         return Err(Problem::stopping());
     }
-    let room = Room::reserve(state, &route.name)
-        .map_err(|wait| Problem::unavailable("slow_readers", wait))?;
+    let allocation = Allocation::reserve(state, &route.name)
+        .map_err(|wait| Problem::unavailable("answer_memory", wait))?;
     Ok(Admitted {
         catalog,
         request,
         route,
         organisation,
-        room,
+        allocation,
     })
 }
 
