Hosts that start together agree on their number only once they can know it

Callers could see engines overloaded after a start of all processes: a host that agreed with one other member while they knew only each other counted few hosts 1.5 s after its start, for good, even if it had not met the others by then.

Cause: any agreement ever counted, also one on a list that was incomplete. Ruled out: waiting 16.5 s as before, which keeps limits and retries of nine hosts for long.

Change: an agreement counts if it is on the members that the host knows now, and from 1.5 s on.

--- a/crates/core/src/census.rs
+++ b/crates/core/src/census.rs
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone)]
 pub struct Census {
     started: Instant,
-    /// Whether another member has named the members that this host knows.
+    /// Whether another member has named the members that this host knew after `DISCOVERY_PERIOD`.
     is_confirmed: bool,
     peak: usize,
     /// Time at which the peak was last seen.
@@ -37,15 +37,16 @@
     }
 
     /// Number of hosts that share limits, if this one and `others` are live. `agrees` says that
-    /// another member has named the same members as this host knows.
+    /// another member has named the same members as this host knows now. Hosts that start together
+    /// may agree before they know the others.
     pub fn count(&mut self, others: usize, agrees: bool, now: Instant) -> usize {
         let live = others.saturating_add(1);
-        self.is_confirmed |= agrees;
+        let age = now.saturating_duration_since(self.started);
+        self.is_confirmed |= agrees && age >= DISCOVERY_PERIOD;
         if live >= self.peak || now.saturating_duration_since(self.seen_at) > PEAK_WINDOW {
             self.peak = live;
             self.seen_at = now;
         }
-        let age = now.saturating_duration_since(self.started);
         let unsure = if self.is_confirmed {
             DISCOVERY_PERIOD
         } else {
--- a/crates/entry/src/front/state.rs
+++ b/crates/entry/src/front/state.rs
@@ -309,7 +309,7 @@
     /// Recent peak of the number of live entry hosts, including this one; they share limits.
     pub fn host_count(&self) -> usize {
         let roster = lock(&self.roster);
-        let (others, agrees) = (roster.other_entry_hosts(), roster.has_agreed());
+        let (others, agrees) = (roster.other_entry_hosts(), roster.is_agreed());
         drop(roster);
         lock(&self.census).count(others, agrees, clock::now())
     }
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -73,8 +73,8 @@
     outbox: Vec<Delivery>,
     /// Number of usable entry hosts whose names precede this one's, and of all others.
     entry_rank: (usize, usize),
-    /// Whether another member has named the members that this process knows.
-    has_agreed: bool,
+    /// Digest of the members that this process and another one named alike last.
+    agreed_digest: Option<u64>,
     rng: SmallRng,
 }
 
@@ -106,7 +106,7 @@
             last_remote_list: None,
             outbox: Vec::new(),
             entry_rank: (0, 0),
-            has_agreed: false,
+            agreed_digest: None,
             rng: SmallRng::from_rng(&mut rand::rng()),
         }
     }
@@ -148,7 +148,9 @@
         }
         self.report(&changes);
         let agrees = packet.digest == self.group.digest();
-        self.has_agreed |= agrees;
+        if agrees {
+            self.agreed_digest = Some(packet.digest);
+        }
         if packet.digest != 0 && !agrees {
             self.send_list(address, is_regional, now);
         }
@@ -333,9 +335,9 @@
         self.entry_rank.1
     }
 
-    /// Whether another member has ever named just the members that this process knew then.
-    pub fn has_agreed(&self) -> bool {
-        self.has_agreed
+    /// Whether another member has named just the members that this process knows now.
+    pub fn is_agreed(&self) -> bool {
+        self.agreed_digest == Some(self.group.digest())
     }
 
     /// Number of usable entry hosts whose names precede this one's.
