All engines that are leaving, or ended a limit, are told in time

Callers could see requests sent to engines that are leaving: a host named the first 32 of them in each message, so that others never heard of those behind, as long as those before stayed listed. The ends of limits were told in the same way.

Cause: a bounded list was taken from the front each time. Ruled out: a position that moves with each message, as the same recipient might get the same part each time; a longer list, since datagrams are bounded.

Change: each message names 32 drawn at random.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -17,6 +17,7 @@
         quarantine::Instance,
         target::Bound,
     },
+    rand::{Rng, seq::IteratorRandom},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::{IpAddr, SocketAddr},
@@ -154,6 +155,11 @@
         announced.map(|(id, entry)| (id, entry.engine.listing.started_ms))
     }
 
+    /// Some of the engines that have said that they are leaving, at most `max`, drawn anew each time.
+    pub fn sample_leaving(&self, max: usize, rng: &mut impl Rng) -> Vec<(&Id, Started)> {
+        self.announced_leaving().choose_multiple(rng, max)
+    }
+
     /// Applies the limit that an answer of the engine of a reservation names, in requests per
     /// second from all hosts; the request was sent at `sent_at`. Returns true if that is news.
     pub fn apply_limit(
@@ -176,6 +182,16 @@
         })
     }
 
+    /// Some of the engines that named a limit until recently, at most `max`, drawn anew each time.
+    pub fn sample_ended_limits(
+        &self,
+        max: usize,
+        rng: &mut impl Rng,
+        now: Instant,
+    ) -> Vec<(&Id, Started, Instant)> {
+        self.ended_limits(now).choose_multiple(rng, max)
+    }
+
     /// Applies what another host tells of the process of an engine that started at `started_ms`: it
     /// named no limit at `ended_at`.
     pub fn hear_limit_end(
--- a/crates/core/tests/incarnation.rs
+++ b/crates/core/tests/incarnation.rs
@@ -8,6 +8,8 @@
         engine::{Listing, Report},
         placement::LISTING_GRACE,
     },
+    rand::{SeedableRng, rngs::StdRng},
+    std::collections::BTreeSet,
 };
 
 // Guards against hosts that pass on "leaving" to an engine that has started again under its id.
@@ -33,6 +35,26 @@
     assert_eq!(announced, [(&"a".into(), Some(1))]);
 }
 
+/// Guards against hosts that never hear of an engine that is leaving because many others are.
+#[test]
+fn all_of_many_leaving_engines_are_told_in_time() {
+    const MAX_TOLD: usize = 32;
+    let ids: Vec<String> = (0..100).map(|number| format!("i-{number:02}")).collect();
+    let engines: Vec<_> = ids.iter().map(|id| (id.as_str(), "r1")).collect();
+    let mut fixture = Fixture::new(&engines);
+    for id in &ids {
+        assert!(fixture.table.set_instance_leaving(id, Some(1)));
+    }
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut told = BTreeSet::new();
+    for _ in 0..30 {
+        let some = fixture.table.sample_leaving(MAX_TOLD, &mut rng);
+        assert_eq!(some.len(), MAX_TOLD);
+        told.extend(some.into_iter().map(|(id, _)| id.clone()));
+    }
+    assert_eq!(told.len(), ids.len());
+}
+
 /// A listing of the process of the engine `a` that started at `started_ms`.
 fn process(started_ms: u64) -> Listing {
     Listing {
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -218,12 +218,13 @@
     let (leaving, limit_ends) = {
         let now = clock::now();
         let table = lock(&state.engines);
-        let leaving = table.announced_leaving().take(MAX_LEAVING);
+        let mut rng = rand::rng();
+        let leaving = table.sample_leaving(MAX_LEAVING, &mut rng).into_iter();
         let encode = |(id, born_ms): (&Id, _)| Leaving {
             engine: id.to_string(),
             born_ms,
         };
-        let ends = table.ended_limits(now).take(MAX_LIMIT_ENDS);
+        let ends = table.sample_ended_limits(MAX_LIMIT_ENDS, &mut rng, now);
         let encode_end = |(id, born_ms, ended_at): (&Id, _, _)| LimitEnd {
             engine: id.to_string(),
             born_ms,
@@ -231,7 +232,7 @@
         };
         (
             leaving.map(encode).collect(),
-            ends.map(encode_end).collect(),
+            ends.into_iter().map(encode_end).collect(),
         )
     };
     let quarantined = lock(&state.quarantine).digest(clock::now());
