News that an engine leaves ends, and does not mark the next process

Cause: "leaving" was kept by the id and the start that the engine states, had no end but the process's own, and was told on by all who were told. Two absent starts compared as equal, so a host that stood still marked the next process and got the mark back from the others; with equal starts the host's own memory of the process that was unlisted marked the next one, without any disruption.

Ruled out: the field `sequence` of the record as a sign of a new process, since a delayed write of the same process has a lower one as well; treating records without a start as malformed, as the example of the users' own wire has none.

Change: `engine::leaving` keeps when the engine last said so. An answer to a later request, or a later report of its agent, that does not repeat it takes it back; every 10 s one request tries. News to other hosts states that time as an age, and the position of the newest record that the teller knows: a host whose list begins a process after that record does not apply it. News counts only if it is 5 s later than what is known, as each telling makes it seem later by the time under way.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -1,6 +1,7 @@
 //! An engine as one entry host sees it: the platform's listing, the reports of the engine's agent,
 //! and the requests that this host has in flight there.
 
+pub mod leaving;
 mod limit;
 mod rotation;
 
@@ -11,9 +12,11 @@
         clamp,
         delay::{Delay, Sent},
         id::{self, DataCentre, Engine as Id, Region, Service, Started},
+        mirror::Position,
         outlier::Detector,
         window::Window,
     },
+    leaving::Leaving,
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -72,6 +75,8 @@
     pub cold_remaining: Duration,
     /// Start of the process.
     pub started_ms: Started,
+    /// Position of this record in the list.
+    pub position: Position,
     /// Weights that it holds, if any.
     pub loaded: Option<Weights>,
 }
@@ -169,9 +174,8 @@
     /// Whether an agent that is alive grants the slots of this engine. Without a grant, this host
     /// sends nothing there.
     pub managed: bool,
-    /// Whether the engine has said that it is leaving. It never takes this back: a process that
-    /// starts again is another instance.
-    leaving: bool,
+    /// What the engine and others say of its leaving.
+    pub leaving: Leaving,
     /// End of the time for which the engine has asked this host to send nothing.
     resting_until: Option<Instant>,
     cold_until: Instant,
@@ -197,7 +201,7 @@
             credit_until: now,
             delay: Delay::default(),
             managed: false,
-            leaving: false,
+            leaving: Leaving::default(),
             resting_until: None,
             cold_until,
             recent_requests: Window::new(COLD_WINDOW),
@@ -219,19 +223,15 @@
         };
     }
 
-    /// Records that the engine says that it is leaving; returns true if that is news.
-    pub fn set_leaving(&mut self) -> bool {
-        !std::mem::replace(&mut self.leaving, true)
-    }
-
     /// Whether the engine leaves: its list entry says so, or it has said so itself.
     pub fn is_leaving(&self) -> bool {
-        self.listing.draining || self.leaving
+        self.listing.draining || self.leaving.said_at().is_some()
     }
 
-    /// Whether the engine has said itself that it is leaving.
-    pub fn has_announced_leaving(&self) -> bool {
-        self.leaving
+    /// Whether the engine gets no request because it leaves. One that has only said so itself gets
+    /// one now and then.
+    pub fn is_closed_by_leaving(&self, now: Instant) -> bool {
+        self.is_leaving() && (self.listing.draining || !self.leaving.is_trial_due(now))
     }
 
     /// Records that the engine wants no request from this host until `until`.
@@ -250,8 +250,9 @@
     pub fn apply_report(&mut self, report: Report, now: Instant) {
         let delay = self.delay.measure(report.sent, now);
         let sent_at = now.checked_sub(delay).unwrap_or(now);
-        if report.leaving {
-            self.leaving = true;
+        // What an agent last read of an engine that does not answer may be about an earlier process.
+        if report.responsive {
+            self.leaving.apply_report(report.leaving, sent_at);
         }
         self.limit.apply_report(report.limit, sent_at);
         let free = self.capacity().saturating_sub(report.load.total());
@@ -309,6 +310,7 @@
         self.credit = self.credit.saturating_sub(1);
         self.recent_requests.record(now);
         self.limit.record_request(place, now);
+        self.leaving.record_request(now);
         // Last, so that a panic above leaves no request that never ends.
         self.in_flight += 1;
     }
--- /dev/null
+++ b/crates/core/src/engine/leaving.rs
@@ -0,0 +1,102 @@
+//! What is known of an engine's leaving beside the list: it says so in its answers, its agent reports
+//! it, and other entry hosts tell what they were told.
+//!
+//! The start that an engine states may not tell its process from the one before, so that what is known
+//! may concern a process that has ended. It is therefore tried again from time to time, and taken back
+//! by an answer that does not repeat it.
+
+use {
+    crate::{
+        id::{Engine, Started},
+        mirror::Position,
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Time after which an engine that said that it leaves gets a request again, to learn whether it still
+/// says so.
+pub const TRIAL_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Time by which news of other hosts must be later than what is known to count. News age by less than
+/// the time that they are under way, so that hosts could otherwise keep what each other believes.
+const NEWS_MARGIN: Duration = Duration::from_secs(5);
+
+/// What an entry host tells others: an engine process says that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct News {
+    /// Id of the engine.
+    pub engine: Engine,
+    /// Start of its process.
+    pub started: Started,
+    /// Position of the newest record about the process that the teller knows.
+    pub position: Position,
+    /// Time at which the process last said so.
+    pub said_at: Instant,
+}
+
+/// Leaving of one engine, as it and others say.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Leaving {
+    /// Time at which the engine last said that it leaves.
+    said_at: Option<Instant>,
+    /// Time of the last request whose answer did not say so.
+    denied_at: Option<Instant>,
+    /// Time of the last request that was sent although the engine leaves.
+    tried_at: Option<Instant>,
+    /// The reports of the engine's agent say so, so that one that does not takes it back.
+    is_reported: bool,
+}
+
+impl Leaving {
+    /// Applies an answer to a request that was sent at `sent_at`. Returns true if it is news that the
+    /// engine leaves.
+    pub fn apply_answer(&mut self, leaving: bool, sent_at: Instant, now: Instant) -> bool {
+        if leaving {
+            return self.set(now);
+        }
+        self.denied_at = self.denied_at.max(Some(sent_at));
+        false
+    }
+
+    /// Applies a report of the engine's agent that was sent at `sent_at`.
+    pub fn apply_report(&mut self, leaving: bool, sent_at: Instant) {
+        if leaving {
+            self.is_reported = true;
+            self.set(sent_at);
+        } else if self.is_reported {
+            self.denied_at = self.denied_at.max(Some(sent_at));
+        }
+    }
+
+    /// Applies what another host tells: the engine said at `said_at` that it leaves. Returns true if
+    /// that is news.
+    pub fn hear(&mut self, said_at: Instant) -> bool {
+        let is_known = self.said_at().is_some_and(|at| said_at < at + NEWS_MARGIN);
+        !is_known && self.set(said_at)
+    }
+
+    fn set(&mut self, said_at: Instant) -> bool {
+        let was_known = self.said_at().is_some();
+        self.said_at = self.said_at.max(Some(said_at));
+        !was_known && self.said_at().is_some()
+    }
+
+    /// Time at which the engine last said that it leaves; `None` if no answer since then repeats it.
+    pub fn said_at(&self) -> Option<Instant> {
+        // An answer to an earlier request may be older than the engine's decision to leave.
+        self.said_at.filter(|at| self.denied_at < Some(*at))
+    }
+
+    /// Whether a request may be sent to learn whether the engine still says that it leaves.
+    pub fn is_trial_due(&self, now: Instant) -> bool {
+        let last = self.said_at().max(self.tried_at);
+        last.is_some_and(|at| now.saturating_duration_since(at) >= TRIAL_INTERVAL)
+    }
+
+    /// Records that a request is sent.
+    pub fn record_request(&mut self, now: Instant) {
+        if self.said_at().is_some() {
+            self.tried_at = Some(now);
+        }
+    }
+}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -11,8 +11,9 @@
 use {
     crate::{
         catalog::{Backend, Route},
-        engine::{Engine, Load, Place, Report},
+        engine::{Engine, Load, Place, Report, leaving},
         id::{DataCentre, Engine as Id, Region, Service, Started},
+        mirror::Position,
         outlier::Outcome,
         quarantine::Instance,
         target::Bound,
@@ -103,6 +104,8 @@
     engine: Engine,
     /// Distinguishes the entry from earlier ones with the same id.
     generation: u64,
+    /// Position of the first record about the process that this host has read.
+    since: Position,
     /// Number of the last listing; increases with each of any engine.
     listing_number: u64,
     /// Time at which the entry is removed unless it is listed again.
@@ -131,32 +134,44 @@
         &self.evacuated
     }
 
-    /// Records that the engine of a reservation says that it is leaving; returns true if that is
-    /// news.
-    pub fn set_leaving(&mut self, reservation: &Reservation) -> bool {
+    /// Applies whether an answer of the engine of a reservation says that it is leaving; the request
+    /// was sent at `sent_at`. Returns true if it is news that the engine leaves.
+    pub fn apply_leaving(
+        &mut self,
+        reservation: &Reservation,
+        leaving: bool,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
         let entry = self.reserved_entry(reservation);
-        entry.is_some_and(|entry| entry.engine.set_leaving())
+        entry.is_some_and(|entry| entry.engine.leaving.apply_answer(leaving, sent_at, now))
     }
 
-    /// Records that the process of an engine that started at `started_ms` is leaving, as another host
-    /// was told; returns true if that is news. Another process under the same id is not concerned.
-    pub fn set_instance_leaving(&mut self, id: &str, started_ms: Started) -> bool {
-        let entry = self.entries.get_mut(id);
-        let entry = entry.filter(|entry| entry.engine.listing.started_ms == started_ms);
-        entry.is_some_and(|entry| entry.engine.set_leaving())
+    /// Applies what another host tells; returns true if it is news that the engine leaves. Another
+    /// process under the same id is not concerned: the teller has not read of the one that is listed
+    /// here if it knows no record as late as the first one about that.
+    pub fn hear_leaving(&mut self, news: &leaving::News) -> bool {
+        let entry = self.entries.get_mut(&news.engine).filter(|entry| {
+            entry.engine.listing.started_ms == news.started && entry.since <= news.position
+        });
+        entry.is_some_and(|entry| entry.engine.leaving.hear(news.said_at))
     }
 
-    /// Engines that have said that they are leaving, and the start of their processes.
-    pub fn announced_leaving(&self) -> impl Iterator<Item = (&Id, Started)> {
-        let announced = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.engine.has_announced_leaving());
-        announced.map(|(id, entry)| (id, entry.engine.listing.started_ms))
+    /// Engines that say that they are leaving.
+    pub fn announced_leaving(&self) -> impl Iterator<Item = leaving::News> {
+        self.entries.iter().filter_map(|(id, entry)| {
+            let listing = &entry.engine.listing;
+            Some(leaving::News {
+                engine: id.clone(),
+                started: listing.started_ms,
+                position: listing.position,
+                said_at: entry.engine.leaving.said_at()?,
+            })
+        })
     }
 
-    /// Some of the engines that have said that they are leaving, at most `max`, drawn anew each time.
-    pub fn sample_leaving(&self, max: usize, rng: &mut impl Rng) -> Vec<(&Id, Started)> {
+    /// Some of the engines that say that they are leaving, at most `max`, drawn anew each time.
+    pub fn sample_leaving(&self, max: usize, rng: &mut impl Rng) -> Vec<leaving::News> {
         self.announced_leaving().choose_multiple(rng, max)
     }
 
--- a/crates/core/src/placement/choice.rs
+++ b/crates/core/src/placement/choice.rs
@@ -254,7 +254,7 @@
 ) -> bool {
     let listing = &engine.listing;
     if listing.service != requirements.backend.name
-        || engine.is_leaving()
+        || engine.is_closed_by_leaving(now)
         || engine.reported_unavailable(now)
     {
         return false;
--- a/crates/core/src/placement/list.rs
+++ b/crates/core/src/placement/list.rs
@@ -25,8 +25,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Former {
     since: Instant,
-    /// Whether it was leaving, which no process takes back.
-    leaving: bool,
+    /// Time at which it last said that it was leaving, or was listed so.
+    left_at: Option<Instant>,
 }
 
 /// A listing in an older copy of the list, of a process that was no longer listed.
@@ -92,15 +92,17 @@
             .former
             .remove(&(id.clone(), listing.started_ms));
         // Without a start, another process under the id cannot be told from the earlier one.
-        let is_leaving = listing.started_ms.is_some() && former.is_some_and(|f| f.leaving);
+        let former = former.filter(|_| listing.started_ms.is_some());
         self.last_generation += 1;
+        let since = listing.position;
         let mut engine = Engine::new(listing, now);
-        if is_leaving {
-            engine.set_leaving();
+        if let Some(left_at) = former.and_then(|former| former.left_at) {
+            engine.leaving.hear(left_at);
         }
         let entry = Entry {
             engine,
             generation: self.last_generation,
+            since,
             listing_number,
             expires_at: None,
         };
@@ -143,11 +145,12 @@
         let Some((id, entry)) = self.entries.remove_entry(id) else {
             return false;
         };
+        let listing = &entry.engine.listing;
+        let listed_at = listing.draining.then_some(now);
         let former = Former {
             since: now,
-            leaving: entry.engine.is_leaving(),
+            left_at: entry.engine.leaving.said_at().max(listed_at),
         };
-        let listing = &entry.engine.listing;
         self.history.former.insert((id, listing.started_ms), former);
         self.map_address(listing.address);
         true
--- a/crates/core/tests/engines/mod.rs
+++ b/crates/core/tests/engines/mod.rs
@@ -7,6 +7,7 @@
         catalog::{Backend, Kind, Route, Speed, Target},
         delay::Sent,
         engine::{Listing, Load, Place, Report, Rotation, Weights},
+        mirror::Position,
         placement::{Refusal, Requirements, Table},
     },
     rand::{SeedableRng, rngs::StdRng},
@@ -74,6 +75,7 @@
         draining: false,
         cold_remaining: Duration::ZERO,
         started_ms: Some(1),
+        position: Position::default(),
         loaded: Some(Weights {
             model: "m".into(),
             version: 1,
--- a/crates/core/tests/incarnation.rs
+++ b/crates/core/tests/incarnation.rs
@@ -3,15 +3,47 @@
 mod engines;
 
 use {
-    engines::{Fixture, listing, only_host, report},
+    engines::{Fixture, listing, only_host, report, requirements},
     jayspread_core::{
-        engine::{Listing, Report},
-        placement::LISTING_GRACE,
+        engine::{
+            Listing, Report,
+            leaving::{News, TRIAL_INTERVAL},
+        },
+        id::Started,
+        mirror::Position,
+        placement::{LISTING_GRACE, Reservation},
     },
     rand::{SeedableRng, rngs::StdRng},
-    std::collections::BTreeSet,
+    rstest::rstest,
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
 };
 
+/// News that a process said at `said_at` that it leaves; the teller has read the list up to `offset`.
+fn news(engine: &str, started: Started, offset: u64, said_at: Instant) -> News {
+    News {
+        engine: engine.into(),
+        started,
+        position: position(offset),
+        said_at,
+    }
+}
+
+fn position(offset: u64) -> Position {
+    Position { era: 0, offset }
+}
+
+/// Listing of the engine `a` by the record at `offset`, with the start that it states, if any.
+fn record(started_ms: Started, offset: u64) -> Listing {
+    Listing {
+        started_ms,
+        position: position(offset),
+        ..listing("a", 1, "r1")
+    }
+}
+
 // Guards against hosts that pass on "leaving" to an engine that has started again under its id.
 #[test]
 fn late_news_of_leaving_does_not_mark_the_next_process() {
@@ -19,8 +51,9 @@
     let mut restarted = listing("a", 1, "r1");
     restarted.started_ms = Some(2);
     fixture.table.add_listing(restarted, fixture.now);
-    assert!(!fixture.table.set_instance_leaving("a", Some(1)));
-    assert!(!fixture.table.set_instance_leaving("a", None));
+    let now = fixture.now;
+    assert!(!fixture.table.hear_leaving(&news("a", Some(1), 0, now)));
+    assert!(!fixture.table.hear_leaving(&news("a", None, 0, now)));
     assert_eq!(fixture.choose().as_deref(), Ok("a"));
     assert_eq!(fixture.table.announced_leaving().count(), 0);
 }
@@ -28,11 +61,12 @@
 #[test]
 fn news_of_leaving_marks_the_process_that_it_names() {
     let mut fixture = Fixture::new(&[("a", "r1")]);
-    assert!(fixture.table.set_instance_leaving("a", Some(1)));
-    assert!(!fixture.table.set_instance_leaving("a", Some(1)), "known");
+    let news = news("a", Some(1), 0, fixture.now);
+    assert!(fixture.table.hear_leaving(&news));
+    assert!(!fixture.table.hear_leaving(&news), "known");
     assert!(fixture.choose().is_err());
     let announced: Vec<_> = fixture.table.announced_leaving().collect();
-    assert_eq!(announced, [(&"a".into(), Some(1))]);
+    assert_eq!(announced, [news]);
 }
 
 /// Guards against hosts that never hear of an engine that is leaving because many others are.
@@ -43,14 +77,15 @@
     let engines: Vec<_> = ids.iter().map(|id| (id.as_str(), "r1")).collect();
     let mut fixture = Fixture::new(&engines);
     for id in &ids {
-        assert!(fixture.table.set_instance_leaving(id, Some(1)));
+        let news = news(id, Some(1), 0, fixture.now);
+        assert!(fixture.table.hear_leaving(&news));
     }
     let mut rng = StdRng::seed_from_u64(1);
     let mut told = BTreeSet::new();
     for _ in 0..30 {
         let some = fixture.table.sample_leaving(MAX_TOLD, &mut rng);
         assert_eq!(some.len(), MAX_TOLD);
-        told.extend(some.into_iter().map(|(id, _)| id.clone()));
+        told.extend(some.into_iter().map(|news| news.engine));
     }
     assert_eq!(told.len(), ids.len());
 }
@@ -168,3 +203,129 @@
     assert!(fixture.table.list_doubted(until).is_empty());
     assert!(fixture.choose().is_err());
 }
+
+/// Sends a request to the engine `a`, whose answer says whether it leaves.
+fn exchange(fixture: &mut Fixture, leaving: bool) -> bool {
+    let Some(reservation) = send(fixture) else {
+        return false;
+    };
+    let now = fixture.now;
+    let table = &mut fixture.table;
+    table.apply_leaving(&reservation, leaving, now, now);
+    table.release(&reservation, None, now);
+    true
+}
+
+fn send(fixture: &mut Fixture) -> Option<Reservation> {
+    let requirements = requirements(&fixture.route, &fixture.backend);
+    let (table, rng) = (&mut fixture.table, &mut fixture.rng);
+    let choice = table.choose(&requirements, rng, fixture.now).ok()?;
+    Some(choice.reservation)
+}
+
+// Guards against marking an engine that has started again, when its processes state no start or the
+// same: a host that stood still knows no record of the later one.
+#[rstest]
+#[case::without_a_start(None)]
+#[case::with_the_same_start(Some(1))]
+fn news_from_before_the_first_record_of_a_process_does_not_mark_it(#[case] started: Started) {
+    let mut fixture = Fixture::new(&[]);
+    fixture.table.add_listing(record(started, 5), fixture.now);
+    let now = fixture.now;
+    assert!(!fixture.table.hear_leaving(&news("a", started, 4, now)));
+    assert_eq!(fixture.choose().as_deref(), Ok("a"));
+    assert!(fixture.table.hear_leaving(&news("a", started, 5, now)));
+    assert!(fixture.choose().is_err());
+}
+
+// Guards against a process that is never used because an earlier one that stated the same start was
+// leaving when its record was removed.
+#[test]
+fn engine_that_starts_again_with_the_same_start_is_tried() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.table.add_listing(record(Some(1), 1), fixture.now);
+    assert!(exchange(&mut fixture, true));
+    fixture.table.remove_listing("a", None, fixture.now);
+    fixture.table.add_listing(record(Some(1), 3), fixture.now);
+    assert!(send(&mut fixture).is_none(), "it may be the same process");
+    fixture.now += TRIAL_INTERVAL;
+    assert!(exchange(&mut fixture, false));
+    assert!(exchange(&mut fixture, false), "its answer took it back");
+    assert_eq!(fixture.table.announced_leaving().count(), 0);
+}
+
+// Guards against sending many requests to an engine that is still leaving.
+#[test]
+fn leaving_engine_gets_one_request_in_each_interval() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.table.add_listing(record(Some(1), 1), fixture.now);
+    assert!(exchange(&mut fixture, true));
+    for _ in 0..3 {
+        fixture.now += TRIAL_INTERVAL;
+        let trial = send(&mut fixture).expect("a trial is due");
+        assert!(send(&mut fixture).is_none(), "one is under way");
+        let now = fixture.now;
+        fixture.table.apply_leaving(&trial, true, now, now);
+        fixture.table.release(&trial, None, now);
+        assert!(send(&mut fixture).is_none());
+    }
+}
+
+// Guards against an answer that was under way before the engine decided to leave.
+#[test]
+fn answer_to_an_earlier_request_does_not_take_leaving_back() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.table.add_listing(record(Some(1), 1), fixture.now);
+    let earlier = send(&mut fixture).expect("it is ready");
+    let sent_at = fixture.now;
+    fixture.now += Duration::from_millis(50);
+    assert!(exchange(&mut fixture, true));
+    let now = fixture.now;
+    fixture.table.apply_leaving(&earlier, false, sent_at, now);
+    assert!(send(&mut fixture).is_none());
+}
+
+// Guards against hosts that keep each other's news alive: each time that it is told it seems later by
+// the time that it was under way.
+#[test]
+fn hosts_do_not_renew_each_others_news() {
+    let mut hosts = [Fixture::new(&[]), Fixture::new(&[])];
+    for host in &mut hosts {
+        host.table.add_listing(record(None, 1), host.now);
+    }
+    assert!(exchange(&mut hosts[0], true));
+    let step = Duration::from_millis(200);
+    let mut waited = Duration::ZERO;
+    while waited < TRIAL_INTERVAL + step {
+        for (from, to) in [(0, 1), (1, 0)] {
+            let told: Vec<News> = hosts[from].table.announced_leaving().collect();
+            for mut news in told {
+                news.said_at += step;
+                hosts[to].table.hear_leaving(&news);
+            }
+        }
+        waited += step;
+        for host in &mut hosts {
+            host.now += step;
+        }
+    }
+    for host in &mut hosts {
+        assert!(exchange(host, false));
+        assert!(exchange(host, false));
+    }
+}
+
+// Guards against a host that still refuses requests after the agent of an engine that has started again
+// reports that it is not leaving.
+#[test]
+fn report_takes_back_what_an_earlier_report_said() {
+    let mut fixture = Fixture::new(&[("a", "r1")]);
+    for (uptime, leaving) in [(100, true), (200, false)] {
+        fixture.now += Duration::from_millis(100);
+        let mut report = report(0, 0, only_host());
+        report.sent.uptime = Duration::from_millis(uptime);
+        report.leaving = leaving;
+        fixture.apply_report(1, report);
+        assert_eq!(fixture.choose().is_err(), leaving);
+    }
+}
--- a/crates/core/tests/incarnation_model.rs
+++ b/crates/core/tests/incarnation_model.rs
@@ -7,14 +7,19 @@
 use {
     engines::{Fixture, listing},
     jayspread_core::{
-        engine::Listing,
-        id::{Engine, Started},
+        engine::{Listing, leaving::News},
+        mirror::Position,
         placement::{LISTING_GRACE, Reservation},
     },
     proptest::{prelude::*, test_runner::RngSeed},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
+/// Time between two steps.
+const STEP_TIME: Duration = Duration::from_millis(10);
 const HOSTS: usize = 3;
 const IDS: [&str; 2] = ["a", "b"];
 /// Time after a return of the store for which hosts doubt the processes that were no longer listed.
@@ -108,9 +113,9 @@
     is_frozen: bool,
     era: u64,
     offset: usize,
-    messages: Vec<Vec<(Engine, Started)>>,
-    /// Answers under way, and whether each says that its engine leaves.
-    answers: Vec<(Reservation, bool)>,
+    messages: Vec<Vec<News>>,
+    /// Answers under way, whether each says that its engine leaves, and when their requests were sent.
+    answers: Vec<(Reservation, bool, Instant)>,
 }
 
 struct Model {
@@ -123,8 +128,12 @@
 
 impl Model {
     fn new() -> Self {
+        let start = Instant::now();
         let host = |_| Host {
-            fixture: Fixture::new(&[]),
+            fixture: Fixture {
+                now: start,
+                ..Fixture::new(&[])
+            },
             is_frozen: false,
             era: 0,
             offset: 0,
@@ -142,20 +151,40 @@
 
     /// What the store has of an engine in the first `end` records.
     fn stored(&self, engine: usize, end: usize) -> Option<Listing> {
-        let mut records = self.log[..end].iter().rev();
-        let newest = records.find(|(of, _)| *of == engine);
-        newest.and_then(|(_, listing)| listing.clone())
+        let newest = self.log[..end].iter().rposition(|(of, _)| *of == engine)?;
+        self.record(newest)
+    }
+
+    /// Listing at an offset of the log; `None` for a removal.
+    fn record(&self, offset: usize) -> Option<Listing> {
+        let listing = self.log[offset].1.clone()?;
+        let position = Position {
+            era: self.era,
+            offset: offset as u64,
+        };
+        Some(Listing {
+            position,
+            ..listing
+        })
     }
 
     /// Writes an engine's record if the store has another one.
     fn write(&mut self, engine: usize) {
         let listing = self.running[engine].map(|process| process.listing(engine));
-        if self.stored(engine, self.log.len()) != listing {
+        let stored = self.stored(engine, self.log.len());
+        let stored = stored.map(|listing| Listing {
+            position: Position::default(),
+            ..listing
+        });
+        if stored != listing {
             self.log.push((engine, listing));
         }
     }
 
     fn apply(&mut self, step: &Step) {
+        for host in &mut self.hosts {
+            host.fixture.now += STEP_TIME;
+        }
         match *step {
             Step::Start(engine) => {
                 self.starts += 1;
@@ -221,8 +250,8 @@
         let reservation = choice.reservation;
         let engine = IDS.iter().position(|id| **id == *reservation.id);
         let process = engine.and_then(|engine| self.running[engine]);
-        host.answers
-            .push((reservation, process.is_some_and(|process| process.leaving)));
+        let leaving = process.is_some_and(|process| process.leaving);
+        host.answers.push((reservation, leaving, now));
     }
 
     fn receive(&mut self, host: usize) {
@@ -230,11 +259,9 @@
         if host.is_frozen || host.answers.is_empty() {
             return;
         }
-        let (reservation, leaving) = host.answers.remove(0);
+        let (reservation, leaving, sent_at) = host.answers.remove(0);
         let (table, now) = (&mut host.fixture.table, host.fixture.now);
-        if leaving {
-            table.set_leaving(&reservation);
-        }
+        table.apply_leaving(&reservation, leaving, sent_at, now);
         table.release(&reservation, None, now);
     }
 
@@ -245,17 +272,20 @@
         if self.hosts[host].era < self.era {
             return self.read_copy(host);
         }
-        let Self { hosts, log, .. } = self;
-        let host = &mut hosts[host];
-        let end = log.len().min(host.offset.saturating_add(count));
+        let start = self.hosts[host].offset;
+        let end = self.log.len().min(start.saturating_add(count));
+        let records: Vec<Record> = (start..end)
+            .map(|offset| (self.log[offset].0, self.record(offset)))
+            .collect();
+        let host = &mut self.hosts[host];
         let (table, now) = (&mut host.fixture.table, host.fixture.now);
-        for (engine, listing) in &log[host.offset..end] {
+        for (engine, listing) in records {
             match listing {
                 Some(listing) => {
-                    table.add_listing(listing.clone(), now);
+                    table.add_listing(listing, now);
                 }
                 None => {
-                    table.remove_listing(IDS[*engine], None, now);
+                    table.remove_listing(IDS[engine], None, now);
                 }
             }
         }
@@ -287,9 +317,7 @@
         if teller.is_frozen || from == to {
             return;
         }
-        let announced = teller.fixture.table.announced_leaving();
-        let message = announced.map(|(id, started_ms)| (id.clone(), started_ms));
-        let message = message.collect();
+        let message = teller.fixture.table.announced_leaving().collect();
         self.hosts[to].messages.push(message);
     }
 
@@ -299,8 +327,8 @@
             return;
         }
         let message = host.messages.remove(index % host.messages.len());
-        for (id, started_ms) in message {
-            host.fixture.table.set_instance_leaving(&id, started_ms);
+        for news in &message {
+            host.fixture.table.hear_leaving(news);
         }
     }
 
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -279,8 +279,14 @@
         .table
         .choose(&requirements, &mut fixture.rng, fixture.now)
         .expect("the engine has free slots");
-    assert!(fixture.table.set_leaving(&choice.reservation));
-    assert!(!fixture.table.set_leaving(&choice.reservation), "known");
+    let now = fixture.now;
+    let mut say = || {
+        fixture
+            .table
+            .apply_leaving(&choice.reservation, true, now, now)
+    };
+    assert!(say());
+    assert!(!say(), "known");
     assert!(fixture.choose().is_err());
     // Neither a stale entry of the list nor a report takes it back.
     fixture
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -12,7 +12,7 @@
     },
     jayspread_core::{
         catalog::Catalog,
-        engine,
+        engine::{self, leaving},
         id::{Engine as Id, Host},
         mirror::Position,
         placement::Table,
@@ -123,14 +123,7 @@
         }
     }
     for leaving in &entry.leaving {
-        if lock(&state.engines).set_instance_leaving(&leaving.engine, leaving.born_ms) {
-            event!(
-                Info,
-                "engine_leaving",
-                engine = leaving.engine,
-                source = host
-            );
-        }
+        hear_leaving(state, leaving, host);
     }
     for end in &entry.limit_ends {
         hear_limit_end(state, end);
@@ -177,6 +170,31 @@
     }
 }
 
+fn hear_leaving(state: &State, leaving: &Leaving, host: &str) {
+    // An age beyond the range of the clock is older than any process that this host knows.
+    let Some(said_at) = clock::now().checked_sub(Duration::from_millis(leaving.age_ms)) else {
+        return;
+    };
+    let news = leaving::News {
+        engine: leaving.engine.as_str().into(),
+        started: leaving.born_ms,
+        position: Position {
+            era: leaving.era,
+            offset: leaving.offset,
+        },
+        said_at,
+    };
+    if lock(&state.engines).hear_leaving(&news) {
+        event!(
+            Info,
+            "engine_leaving",
+            engine = news.engine,
+            age_ms = leaving.age_ms,
+            source = host
+        );
+    }
+}
+
 fn hear_limit_end(state: &State, end: &LimitEnd) {
     let now = clock::now();
     // An age beyond the range of the clock is older than any limit that this process knows.
@@ -220,9 +238,12 @@
         let table = lock(&state.engines);
         let mut rng = rand::rng();
         let leaving = table.sample_leaving(MAX_LEAVING, &mut rng).into_iter();
-        let encode = |(id, born_ms): (&Id, _)| Leaving {
-            engine: id.to_string(),
-            born_ms,
+        let encode = |news: leaving::News| Leaving {
+            engine: news.engine.to_string(),
+            born_ms: news.started,
+            era: news.position.era,
+            offset: news.position.offset,
+            age_ms: now.saturating_duration_since(news.said_at).as_millis() as u64,
         };
         let ends = table.sample_ended_limits(MAX_LIMIT_ENDS, &mut rng, now);
         let encode_end = |(id, born_ms, ended_at): (&Id, _, _)| LimitEnd {
--- a/crates/entry/src/front/records.rs
+++ b/crates/entry/src/front/records.rs
@@ -108,11 +108,13 @@
     match topic {
         Topic::Operator => apply_operator(state, &applied.changes, versions_named_at),
         Topic::Engines if applied.new_era => {
-            apply_copied_engines(state, applied.changes, source, now + ERA_GRACE);
+            let grace_until = now + ERA_GRACE;
+            apply_copied_engines(state, applied.changes, source, end.era, grace_until);
         }
         Topic::Engines => {
             let lists = Lists {
                 source,
+                era: end.era,
                 doubted_until: None,
                 grace_until,
             };
@@ -135,17 +137,25 @@
 
 /// Applies the list of engines as a copy of the store holds it: engines that it lacks are kept until
 /// `grace_until`, and processes that were no longer listed do not come back by it before.
-fn apply_copied_engines(state: &State, changes: Vec<Record>, source: Source, grace_until: Instant) {
+fn apply_copied_engines(
+    state: &State,
+    changes: Vec<Record>,
+    source: Source,
+    era: u64,
+    grace_until: Instant,
+) {
     let listed = changes.into_iter().filter(|r| r.value.is_some()).collect();
     let lacking = with_mirror(state, Topic::Engines, Mirror::release_held);
     let copied = Lists {
         source,
+        era,
         doubted_until: Some(grace_until),
         grace_until: None,
     };
     apply_engines(state, listed, copied);
     let removed = Lists {
         source,
+        era,
         doubted_until: None,
         grace_until: Some(grace_until),
     };
@@ -249,6 +259,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Lists {
     source: Source,
+    /// Era of the records' offsets.
+    era: u64,
     /// The records are those of an older copy; the time until which they are doubted.
     doubted_until: Option<Instant>,
     /// Time until which removed engines are kept, so that they can be listed again; without it, they
@@ -274,7 +286,12 @@
             }
             continue;
         };
-        let parse = || record::parse_engine(&record.key, value, &state.settings.regions);
+        let position = Position {
+            era: lists.era,
+            offset: record.offset,
+        };
+        let regions = &state.settings.regions;
+        let parse = || record::parse_engine(&record.key, value, position, regions);
         let applied =
             panic::catch(|| parse().map(|listing| list_engine(state, listing, lists, now)));
         let cause: &dyn Display = match &applied {
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -130,7 +130,9 @@
         if let Some(load) = metadata.load {
             lock(&state.engines).observe_load(reservation, load, now);
         }
-        if metadata.leaving && lock(&state.engines).set_leaving(reservation) {
+        let leaves =
+            lock(&state.engines).apply_leaving(reservation, metadata.leaving, self.sent_at, now);
+        if leaves {
             state.metrics.leaving_engines.inc();
             event!(
                 Info,
