An engine that is listed as ready after it drained is tried

Callers got 503 (no_engine) for good on the routes of an engine that drained and started again under its id, if its entry was never removed in between and its processes stated no start, or the same one.

Cause: `draining` of a list entry was kept as long as the entry, since a later record that says `ready` was taken for a delayed one. Ruled out: believing each such record at once; a delayed write of a process that drains does occur, and its next beat corrects it.

Change: a ready record after a draining one turns the entry's `draining` into what `engine::leaving` keeps: closed for now, tried after 10 s, taken back or confirmed by the answer.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -209,18 +209,17 @@
         }
     }
 
-    /// Applies a changed listing of the same instance. An instance that drains does so until its
-    /// end; a listing that says otherwise is an older one.
+    /// Applies a changed listing of the same instance. One that no longer drains is an older listing,
+    /// or of another process that states the same start; the engine's answers tell.
     pub fn update_listing(&mut self, listing: Listing, now: Instant) {
         if !listing.cold_remaining.is_zero() {
             let cold_until = clamp::later(now, listing.cold_remaining);
             self.cold_until = self.cold_until.max(cold_until);
         }
-        let draining = self.listing.draining || listing.draining;
-        self.listing = Listing {
-            draining,
-            ..listing
-        };
+        if self.listing.draining && !listing.draining {
+            self.leaving.hear(now);
+        }
+        self.listing = listing;
     }
 
     /// Whether the engine leaves: its list entry says so, or it has said so itself.
--- a/crates/core/tests/incarnation.rs
+++ b/crates/core/tests/incarnation.rs
@@ -329,3 +329,24 @@
         assert_eq!(fixture.choose().is_err(), leaving);
     }
 }
+
+// Guards against a process that is never used because its record follows, without a removal, that of an
+// earlier process with the same start that drained.
+#[rstest]
+#[case::without_a_start(None)]
+#[case::with_the_same_start(Some(1))]
+fn engine_that_is_ready_after_it_drained_is_tried(#[case] started: Started) {
+    let mut fixture = Fixture::new(&[]);
+    let draining = Listing {
+        draining: true,
+        ..record(started, 1)
+    };
+    fixture.table.add_listing(draining, fixture.now);
+    fixture.now += TRIAL_INTERVAL;
+    assert!(send(&mut fixture).is_none(), "the list says that it drains");
+    fixture.table.add_listing(record(started, 2), fixture.now);
+    assert!(send(&mut fixture).is_none(), "the record may be a late one");
+    fixture.now += TRIAL_INTERVAL;
+    assert!(exchange(&mut fixture, false));
+    assert!(exchange(&mut fixture, false));
+}
