Processes that state no start are told apart by their records

A request that crashes an engine was sent to it again and again after each of its starts, and idle connections to an earlier process came back into use, if the engine states no start.

Cause: connections, crashes and findings are kept by `quarantine::Instance`, whose start is then equal for all processes of the id. Ruled out: a number that each host gives, since hosts compare crashes; the position for processes that state a start, since their entry may expire and come back at another.

Change: without a start, an instance has the position of its first record in the list, which hosts that follow the list agree on. A host that first read it from a copy may have a later one, so that a crash seen by both counts twice. Processes that state the same start still count as one here.

Measured: processes_without_a_start_are_told_apart_by_their_records failed before (equal instances) and passes; process_with_a_start_is_the_same_after_its_record_came_back passes before and after.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -67,6 +67,7 @@
     /// Address of the engine.
     pub address: SocketAddr,
     started: Started,
+    listed_at: Option<Position>,
     generation: u64,
 }
 
@@ -77,6 +78,7 @@
             engine: self.id.clone(),
             started: self.started,
             address: self.address,
+            listed_at: self.listed_at,
         }
     }
 }
@@ -112,6 +114,13 @@
     expires_at: Option<Instant>,
 }
 
+impl Entry {
+    /// The engine process.
+    fn instance(&self) -> Instance {
+        Instance::new(&self.engine.listing, self.since)
+    }
+}
+
 /// Engines of all services.
 #[derive(Default)]
 pub struct Table {
@@ -335,6 +344,11 @@
         entry.is_some_and(|entry| entry.generation == reservation.generation)
     }
 
+    /// Processes of all engines.
+    pub fn instances(&self) -> impl Iterator<Item = Instance> {
+        self.entries.values().map(Entry::instance)
+    }
+
     /// All engines, in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = &Engine> {
         self.entries.values().map(|entry| &entry.engine)
--- a/crates/core/src/placement/choice.rs
+++ b/crates/core/src/placement/choice.rs
@@ -6,6 +6,7 @@
         catalog,
         engine::{self, Engine},
         id::{DataCentre, Engine as Id},
+        quarantine::Instance,
     },
     rand::Rng,
     std::{
@@ -115,6 +116,12 @@
 
     fn reserve(&mut self, id: &Id, requirements: &Requirements<'_>, now: Instant) -> Choice {
         let entry = self.entries.get_mut(id).expect("chosen engine is listed");
+        let Instance {
+            engine: id,
+            started,
+            address,
+            listed_at,
+        } = entry.instance();
         let engine = &mut entry.engine;
         let speed = requirements.backend.speed.as_ref();
         let expected_first_event = speed.map(|s| {
@@ -124,9 +131,10 @@
         let bound = version.and_then(|version| version_bound(version, requirements));
         let choice = Choice {
             reservation: Reservation {
-                id: id.clone(),
-                address: engine.listing.address,
-                started: engine.listing.started_ms,
+                id,
+                address,
+                started,
+                listed_at,
                 generation: entry.generation,
             },
             data_centre: engine.listing.data_centre.clone(),
--- a/crates/core/src/placement/list.rs
+++ b/crates/core/src/placement/list.rs
@@ -165,8 +165,14 @@
     /// Whether another process is listed at the address of one that is no longer listed. That one has
     /// ended.
     pub fn is_replaced(&self, instance: &Instance) -> bool {
+        let at_address = self.by_address.get(&instance.address);
+        let Some(entry) = at_address.and_then(|id| self.entries.get(id)) else {
+            return false;
+        };
+        if entry.instance().engine == instance.engine && instance.listed_at.is_some() {
+            return entry.instance() != *instance;
+        }
         self.is_former(&instance.engine, instance.started)
-            && self.by_address.contains_key(&instance.address)
     }
 
     /// Removes engines whose listing expired, and returns their ids.
--- a/crates/core/src/quarantine/abandoned.rs
+++ b/crates/core/src/quarantine/abandoned.rs
@@ -6,7 +6,8 @@
     super::{Crash, Ledger, Part, crash},
     crate::{
         engine::Listing,
-        id::{Engine, Started},
+        id::{self, Engine, Started},
+        mirror::Position,
     },
     std::{
         collections::BTreeMap,
@@ -48,23 +49,30 @@
     pub started: Started,
     /// Address of its HTTP interface.
     pub address: SocketAddr,
+    /// Position of its first record in the list, if it states no start. It tells the process from
+    /// others of its id that state none either.
+    pub listed_at: Option<Position>,
 }
 
 impl Instance {
-    /// Hash of the process.
-    pub fn crash(&self) -> Crash {
-        crash(&self.engine, self.started)
-    }
-}
-
-impl From<&Listing> for Instance {
-    fn from(listing: &Listing) -> Self {
+    /// The process that is listed since the record at `since`.
+    pub fn new(listing: &Listing, since: Position) -> Self {
         Self {
             engine: listing.id.clone(),
             started: listing.started_ms,
             address: listing.address,
+            listed_at: listing.started_ms.is_none().then_some(since),
         }
     }
+
+    /// Hash of the process.
+    pub fn crash(&self) -> Crash {
+        let Some(position) = self.listed_at else {
+            return crash(&self.engine, self.started);
+        };
+        let (era, offset) = (position.era.to_le_bytes(), position.offset.to_le_bytes());
+        id::digest(b"engine crash", &[self.engine.as_bytes(), &era, &offset])
+    }
 }
 
 #[derive(Debug)]
--- a/crates/core/tests/incarnation.rs
+++ b/crates/core/tests/incarnation.rs
@@ -350,3 +350,38 @@
     assert!(exchange(&mut fixture, false));
     assert!(exchange(&mut fixture, false));
 }
+
+// Guards against taking the next process at an address for the one that crashed there, when neither
+// states a start: its callers' connections, crashes and findings would count for one process.
+#[test]
+fn processes_without_a_start_are_told_apart_by_their_records() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.table.add_listing(record(None, 1), fixture.now);
+    let earlier = send(&mut fixture).expect("it is ready").instance();
+    fixture.table.add_listing(record(None, 2), fixture.now);
+    let updated = send(&mut fixture).expect("it is ready").instance();
+    assert_eq!(earlier, updated, "not removed in between");
+    assert!(!fixture.table.is_replaced(&earlier));
+    fixture.table.remove_listing("a", None, fixture.now);
+    assert!(!fixture.table.is_replaced(&earlier), "it may still answer");
+    fixture.table.add_listing(record(None, 4), fixture.now);
+    let later = send(&mut fixture).expect("it is ready").instance();
+    assert_ne!(earlier, later);
+    assert_ne!(earlier.crash(), later.crash());
+    assert!(fixture.table.is_replaced(&earlier));
+    assert!(!fixture.table.is_replaced(&later));
+}
+
+// Guards against counting the crash of one process twice: hosts know it by different records if its
+// entry expired and came back.
+#[test]
+fn process_with_a_start_is_the_same_after_its_record_came_back() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.table.add_listing(record(Some(1), 1), fixture.now);
+    let earlier = send(&mut fixture).expect("it is ready").instance();
+    fixture.table.remove_listing("a", None, fixture.now);
+    fixture.table.add_listing(record(Some(1), 3), fixture.now);
+    let later = send(&mut fixture).expect("it is ready").instance();
+    assert_eq!(earlier.crash(), later.crash());
+    assert!(!fixture.table.is_replaced(&earlier));
+}
--- a/crates/core/tests/quarantine_abandoned.rs
+++ b/crates/core/tests/quarantine_abandoned.rs
@@ -23,6 +23,7 @@
         engine: engine.into(),
         started: Some(started),
         address: ([127, 0, 0, 1], 80).into(),
+        listed_at: None,
     }
 }
 
--- a/crates/entry/src/front/gossip.rs
+++ b/crates/entry/src/front/gossip.rs
@@ -462,8 +462,7 @@
         event!(Info, "engine_listed_by_copy", engine = engine, used = true);
     }
     table.set_managed(|address| managers.contains(&address));
-    let listed = table.iter().map(|engine| Instance::from(&engine.listing));
-    let listed: BTreeSet<Instance> = listed.collect();
+    let listed: BTreeSet<Instance> = table.instances().collect();
     drop(table);
     *lock(&state.stranded) = stranded;
     lock(&state.pool).prune(&listed);
