A stopping host answers the first request on a connection that it has just accepted

Cause: a connection without a request counted as idle, also when it had just been accepted, and the exit cut idle connections and the queue of established ones off at once. The host's log shows nothing in hand.

--- a/crates/entry/tests/connection.rs
+++ b/crates/entry/tests/connection.rs
@@ -446,3 +446,45 @@
     let text = String::from_utf8_lossy(&received);
     assert!(received.ends_with(last), "{text}");
 }
+
+/// Guards against a host that exits without an answer to the first request on a connection that it has
+/// just accepted.
+#[tokio::test]
+async fn first_request_on_a_new_connection_is_answered_before_the_host_exits() {
+    let server = Server::open(TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("connects");
+    time::sleep(Duration::from_millis(50)).await;
+    server.shutdown.send_replace(Shutdown::Closing);
+    time::sleep(Duration::from_millis(50)).await;
+    stream.write_all(OTHER_REQUEST).await.expect("writes");
+    let response = read_some(&mut stream).await;
+    assert!(response.starts_with("HTTP/1.1 404"), "{response}");
+    assert!(response.contains("connection: close\r\n"), "{response}");
+}
+
+/// Guards against a host that is kept from its exit by connections that nobody uses, and against an
+/// answer that is broken off because its host closes idle connections.
+#[rstest]
+#[case::idle("/other", 0)]
+#[case::answering("/late", 1)]
+#[tokio::test]
+async fn connection_is_closed_before_the_host_exits_once_nothing_is_in_hand(
+    #[case] path: &str,
+    #[case] in_hand: usize,
+) {
+    let server = Server::open(TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("connects");
+    let request = format!("GET {path} HTTP/1.1\r\nHost: test\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.expect("writes");
+    time::sleep(STREAM_TIME / 2).await;
+    assert_eq!(server.in_hand.load(Ordering::Relaxed), in_hand);
+    server.shutdown.send_replace(Shutdown::Closing);
+    let mut response = String::new();
+    let read = time::timeout(TIMEOUT, stream.read_to_string(&mut response)).await;
+    assert!(matches!(read, Ok(Ok(_))), "{read:?}");
+    assert!(response.starts_with("HTTP/1.1 "), "{response}");
+    assert!(in_hand == 0 || response.contains("end"), "{response}");
+    drop(stream);
+    time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(server.in_hand.load(Ordering::Relaxed), 0);
+}
