Agents keep the origin of the newest configuration

An agent could ask the former origin of the weights for pieces after the origin had moved.

Cause: an agent took the origin from whichever entry host it heard last. A host that stood still while a configuration moved the origin told of the former one when it woke, and the agent went back to it until another heartbeat. Ruled out: that woken hosts always read the store first; most do.

Change: `target::Newest` keeps what the newest configuration says; hosts tell its revision already.

--- a/crates/agent/src/slot/gossip.rs
+++ b/crates/agent/src/slot/gossip.rs
@@ -10,7 +10,7 @@
         audience::{Audience, View},
         engine::Rotation,
         holders::Report,
-        id::{Host, Region},
+        id::{Host, Region, Revision},
         spread,
     },
     jayspread_net::{clock, event, members, targets},
@@ -131,12 +131,13 @@
     };
     lock(&shared.entry_hosts).insert(host.into(), entry_host);
     if let Some(target) = target {
-        apply_target(shared, target);
+        apply_target(shared, target, entry.revision);
     }
 }
 
-/// Applies the target version that an entry host announces for this engine's service.
-fn apply_target(shared: &Shared, target: &Target) {
+/// Applies the target version that an entry host announces for this engine's service, and the origin
+/// that its configuration names.
+fn apply_target(shared: &Shared, target: &Target, revision: Revision) {
     let origin = u16::try_from(target.origin_port).ok();
     let origin = origin.filter(|port| *port != 0).map(|port| {
         let ip = Ipv4Addr::from_bits(target.origin_address);
@@ -147,17 +148,16 @@
         origin,
         data_centre: target.origin_data_centre.as_str().into(),
     };
-    let mut current_source = lock(&shared.weight_source);
-    if current_source.as_ref() != Some(&source) {
+    let model = source.model.clone();
+    if lock(&shared.weight_source).learn(revision, source) {
         event!(
             Info,
             "weight_source",
-            model = source.model,
-            origin = format!("{origin:?}")
+            model = model,
+            origin = format!("{origin:?}"),
+            revision = revision
         );
-        *current_source = Some(source);
     }
-    drop(current_source);
     if targets::learn(&mut lock(&shared.targets), target, clock::now()) {
         event!(
             Info,
--- a/crates/agent/src/slot/shared.rs
+++ b/crates/agent/src/slot/shared.rs
@@ -14,7 +14,7 @@
         holders::Reports,
         id::{DataCentre, Host},
         spread::Holder,
-        target::Targets,
+        target::{Newest, Targets},
     },
     jayspread_net::{admin::View, clock, datagram::Socket, members::Roster, task::Health},
     jayspread_platform::{engine::State, settings::Settings},
@@ -90,7 +90,7 @@
     /// Datagram socket for entry hosts and other agents.
     pub socket: Socket,
     /// Location of the weights; `None` until an entry host announces it.
-    pub weight_source: Mutex<Option<WeightSource>>,
+    pub weight_source: Mutex<Newest<WeightSource>>,
     /// Target versions announced by entry hosts, by model.
     pub targets: Mutex<Targets>,
     /// State of the local engine.
@@ -146,7 +146,7 @@
 
     /// Location of the weights, if known.
     pub fn weight_source(&self) -> Option<WeightSource> {
-        lock(&self.weight_source).clone()
+        lock(&self.weight_source).get().cloned()
     }
 
     /// Hosts of agents that are alive, by data centre; includes this host.
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -1,7 +1,7 @@
 //! Target versions of models, as set by the operator, and the oldest version that may still serve.
 
 use {
-    crate::clamp,
+    crate::{clamp, id::Revision},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -135,3 +135,32 @@
         self.models.iter().filter_map(newest)
     }
 }
+
+/// What the newest configuration says that any host has told of. Hosts that stood still tell of earlier
+/// ones.
+#[derive(Debug, Clone)]
+pub struct Newest<T>(Option<(Revision, T)>);
+
+impl<T> Default for Newest<T> {
+    fn default() -> Self {
+        Self(None)
+    }
+}
+
+impl<T: PartialEq> Newest<T> {
+    /// Takes in what a configuration says; returns whether that is another value than before.
+    pub fn learn(&mut self, revision: Revision, value: T) -> bool {
+        let known = self.0.as_ref();
+        if known.is_some_and(|(known, _)| revision < *known) {
+            return false;
+        }
+        let changed = known.is_none_or(|(_, known)| *known != value);
+        self.0 = Some((revision, value));
+        changed
+    }
+
+    /// What the newest configuration says; `None` before the first.
+    pub fn get(&self) -> Option<&T> {
+        self.0.as_ref().map(|(_, value)| value)
+    }
+}
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -1,7 +1,7 @@
 //! Tests of the versions that the operator has named, and of the limits of older ones.
 
 use {
-    jayspread_core::target::Targets,
+    jayspread_core::target::{Newest, Targets},
     std::time::{Duration, Instant},
 };
 
@@ -59,3 +59,16 @@
         .min();
     assert_eq!(first, Some(start + Duration::from_millis(200) + LIMIT));
 }
+
+/// Guards against going back to a value of an earlier configuration, which a host that stood still tells.
+#[test]
+fn value_of_an_earlier_configuration_is_ignored() {
+    let mut newest = Newest::default();
+    assert!(newest.learn(3, "a"));
+    assert!(!newest.learn(2, "b"));
+    assert!(!newest.learn(4, "a"), "the value is the same");
+    assert!(!newest.learn(3, "b"));
+    assert_eq!(newest.get(), Some(&"a"));
+    assert!(newest.learn(5, "b"));
+    assert_eq!(newest.get(), Some(&"b"));
+}
