A stopping host closes idle connections only when nothing else is in hand

Cause: since a stopping host closed idle connections as soon as it stopped listening. While it still waited for other connections, up to 300 ms, a request could come on one that it had closed.

Ruled out: the crossing of a request and the exit, which the soak allows; it came over 250 ms before.

Change: idle connections are closed last.

Measured: request_beside_the_last_answers_of_a_stopping_host_is_answered (built programs) fails on the code before with the same error and passes.

--- a/crates/entry/src/front/process.rs
+++ b/crates/entry/src/front/process.rs
@@ -166,10 +166,15 @@
             self.state.shutdown.send_replace(Shutdown::Answering);
         }
         self.callers.close().await;
+        let finish = async || {
+            while clock::now() < schedule.exit_by() && in_hand() > 0 {
+                time::sleep(CUT_OFF_POLL_INTERVAL).await;
+            }
+        };
+        finish().await;
+        // Until here, requests on idle connections are answered.
         self.state.shutdown.send_replace(Shutdown::Closing);
-        while clock::now() < schedule.exit_by() && in_hand() > 0 {
-            time::sleep(CUT_OFF_POLL_INTERVAL).await;
-        }
+        finish().await;
         let cut_off = in_hand();
         event!(
             Info,
