--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -1,20 +1,15 @@
 //! What a caller's connection has in hand, and when it may be closed.
 //!
 //! A request is in hand from the first byte of its head until the last byte of its answer has left
-//! this process. So is a new connection, whose caller is about to send its first request.
+//! this process.
 
 use std::time::{Duration, Instant};
 
-/// Time within which a caller sends the first request on a new connection.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(200);
-
 /// Part of a request that a connection has in hand.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Stage {
-    /// The first request, of which no byte has arrived.
+    /// None: no byte has arrived since the last answer.
     #[default]
-    New,
-    /// None: no byte has arrived since the last answer, or for some time on a new connection.
     Idle,
     /// A part of a head.
     Head,
@@ -30,7 +25,6 @@
     /// Name for logs.
     pub fn name(self) -> &'static str {
         match self {
-            Stage::New => "new",
             Stage::Idle => "idle",
             Stage::Head => "head",
             Stage::Request => "request",
@@ -65,7 +59,7 @@
     /// A connection that was accepted at `now`.
     pub fn new(now: Instant) -> Self {
         Self {
-            stage: Stage::New,
+            stage: Stage::Idle,
             since: now,
             requests: 0,
             promised: Duration::ZERO,
@@ -87,21 +81,9 @@
         self.stage != Stage::Idle
     }
 
-    /// Time from which a new connection counts as idle; `None` for others.
-    pub fn first_request_by(&self) -> Option<Instant> {
-        (self.stage == Stage::New).then(|| self.since + FIRST_REQUEST_TIME)
-    }
-
-    /// Lets a new connection count as idle if its first request has not come in time.
-    pub fn settle(&mut self, now: Instant) {
-        if self.first_request_by().is_some_and(|at| now >= at) {
-            self.stage = Stage::Idle;
-        }
-    }
-
     /// Records that bytes have arrived.
     pub fn receive(&mut self, now: Instant) {
-        if matches!(self.stage, Stage::New | Stage::Idle) {
+        if self.stage == Stage::Idle {
             self.enter(Stage::Head, now);
         }
     }
@@ -142,7 +124,7 @@
     /// its way for as long as a head may take.
     pub fn expiry(&self, limits: Limits) -> Option<Instant> {
         let limit = match self.stage {
-            Stage::New | Stage::Idle => limits.idle.max(self.promised).saturating_add(limits.head),
+            Stage::Idle => limits.idle.max(self.promised).saturating_add(limits.head),
             Stage::Head => limits.head,
             Stage::Request | Stage::Answer | Stage::Closing => return None,
         };
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -66,8 +66,6 @@
     Stopping,
     /// Requests in hand get their final answers at once.
     Answering,
-    /// The same, and connections are closed as soon as they have nothing in hand.
-    Closing,
     /// Connections are closed at once.
     CutOff,
 }
@@ -158,7 +156,6 @@
         match end {
             // An aborted response leaves the sending direction open.
             End::Closed => shut_down(&stream),
-            End::Idle => return shut_down(&stream),
             End::Failed => return,
             End::Broken => {
                 progress.close();
@@ -182,8 +179,6 @@
 enum End {
     /// Both directions, or the sending one, are closed.
     Closed,
-    /// Nothing is in hand, and the process is about to exit.
-    Idle,
     /// The socket failed, or its peer was given up: nothing more can be sent or read.
     Failed,
     /// The answer was broken off, and only a reset shows that to the caller.
@@ -260,22 +255,12 @@
         if *shutdown.borrow() >= Shutdown::Answering && progress.stage() == Stage::Head {
             return End::Stopping;
         }
-        progress.settle();
-        let is_last = *shutdown.borrow() >= Shutdown::Closing;
-        if is_last && progress.stage() == Stage::Idle {
-            return End::Idle;
-        }
         let limits = (settings.limits)();
         let wake_at = match progress.expiry(limits) {
-            // Nothing else tells that the last byte of an answer has left.
-            _ if is_last => clock::now() + DELIVERY_CHECK_INTERVAL,
             Some(_) if expired => clock::now() + EXPIRY_GRACE,
             Some(expiry) => expiry,
             None => clock::now() + limits.idle,
         };
-        let wake_at = progress
-            .first_request_by()
-            .map_or(wake_at, |at| wake_at.min(at));
         // What has arrived is read before the connection is closed.
         tokio::select! {
             biased;
--- a/crates/entry/src/front/listener.rs
+++ b/crates/entry/src/front/listener.rs
@@ -15,7 +15,7 @@
     std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        task, time,
+        time,
     },
 };
 
@@ -32,9 +32,6 @@
 /// A listening port and the task that accepts its connections.
 pub struct Listener {
     tasks: Supervisor,
-    socket: Arc<TcpListener>,
-    serve: fn(TcpStream, Arc<State>),
-    state: Arc<State>,
 }
 
 impl Listener {
@@ -58,32 +55,25 @@
         name: &'static str,
         address: SocketAddr,
         state: Arc<State>,
-        serve: fn(TcpStream, Arc<State>),
+        on_connection: fn(TcpStream, Arc<State>),
     ) -> io::Result<Self> {
-        let socket = Arc::new(TcpListener::bind(address).await?);
+        let listener = Arc::new(TcpListener::bind(address).await?);
         let mut tasks = Supervisor::new(&state.tasks, Policy::default());
-        let shared = (Arc::clone(&socket), Arc::clone(&state));
         tasks.spawn(name, move || {
-            let (socket, state) = shared.clone();
-            async move { accept(&socket, |stream| serve(stream, Arc::clone(&state))).await }
+            let (listener, state) = (Arc::clone(&listener), Arc::clone(&state));
+            async move {
+                accept(&listener, |stream| {
+                    on_connection(stream, Arc::clone(&state));
+                })
+                .await;
+            }
         });
-        Ok(Self {
-            tasks,
-            socket,
-            serve,
-            state,
-        })
+        Ok(Self { tasks })
     }
 
-    /// Stops accepting connections; open connections stay. Those that were established before are
-    /// accepted, as the end of the socket would reset them.
-    pub async fn close(self) {
+    /// Stops accepting connections; open connections stay.
+    pub fn close(self) {
         self.tasks.close();
-        // The task that accepts ends with this turn.
-        task::yield_now().await;
-        while let Ok(Ok((stream, _))) = time::timeout(Duration::ZERO, self.socket.accept()).await {
-            (self.serve)(stream, Arc::clone(&self.state));
-        }
     }
 }
 
--- a/crates/entry/src/front/process.rs
+++ b/crates/entry/src/front/process.rs
@@ -165,16 +165,9 @@
             event!(Info, "answering", in_hand = in_hand());
             self.state.shutdown.send_replace(Shutdown::Answering);
         }
-        self.callers.close().await;
-        let finish = async || {
-            while clock::now() < schedule.exit_by() && in_hand() > 0 {
-                time::sleep(CUT_OFF_POLL_INTERVAL).await;
-            }
-        };
-        finish().await;
-        // Until here, requests on idle connections are answered.
-        self.state.shutdown.send_replace(Shutdown::Closing);
-        finish().await;
+        while clock::now() < schedule.exit_by() && in_hand() > 0 {
+            time::sleep(CUT_OFF_POLL_INTERVAL).await;
+        }
         let cut_off = in_hand();
         event!(
             Info,
@@ -183,12 +176,13 @@
             after_ms = clock::now().saturating_duration_since(started).as_millis()
         );
         quarantine::flush(&self.state);
+        self.callers.close();
         self.state.shutdown.send_replace(Shutdown::CutOff);
         let cut_off_deadline = clock::now() + CUT_OFF_TIME;
         while in_hand() > 0 && clock::now() < cut_off_deadline {
             time::sleep(CUT_OFF_POLL_INTERVAL).await;
         }
-        self.balancer.close().await;
+        self.balancer.close();
         self.peers.close();
         self.admin.close();
         self.tasks.close();
--- a/crates/entry/src/front/socket.rs
+++ b/crates/entry/src/front/socket.rs
@@ -32,12 +32,8 @@
     /// State of a connection that was just accepted; `in_hand` counts connections that have something
     /// in hand.
     pub fn new(in_hand: Arc<AtomicUsize>) -> Arc<Self> {
-        let connection = Connection::new(clock::now());
-        if connection.is_in_hand() {
-            in_hand.fetch_add(1, Ordering::AcqRel);
-        }
         Arc::new(Self {
-            connection: Mutex::new(connection),
+            connection: Mutex::new(Connection::new(clock::now())),
             in_hand,
             head_begun: Notify::new(),
         })
@@ -48,16 +44,6 @@
         lock(&self.connection).stage()
     }
 
-    /// Time from which a new connection counts as idle; `None` for others.
-    pub fn first_request_by(&self) -> Option<Instant> {
-        lock(&self.connection).first_request_by()
-    }
-
-    /// Lets a new connection count as idle if its first request has not come in time.
-    pub fn settle(&self) {
-        self.update(Connection::settle);
-    }
-
     /// Time from which the connection may be closed; `None` while a request or an answer is in hand.
     pub fn expiry(&self, limits: Limits) -> Option<Instant> {
         lock(&self.connection).expiry(limits)
@@ -132,9 +118,7 @@
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
         ready!(self.connection().poll_read(context, buffer))?;
-        if buffer.filled().len() > filled
-            && matches!(self.progress.stage(), Stage::New | Stage::Idle)
-        {
+        if buffer.filled().len() > filled && self.progress.stage() == Stage::Idle {
             self.progress.update(Connection::receive);
             self.progress.head_begun.notify_one();
         }
