A host tells no others that an engine leaves if it only infers it

Callers could get 503 (no_engine) for up to 10 s from hosts that were using the next process of an engine already, each time that a host which had been paused read the list again. It needs processes that state the same start, or none and no removal of the entry in between.

Cause: since a host kept two things as one: what an engine says of itself, and what the host concludes from its records (ready after draining, listed again after a removal). It told both, with the time at which it read them and the position of the next process's record, so that the check of positions let it pass.

Ruled out: telling it with the time of the record, as records have none.

Change: `Leaving` keeps the inference apart. It closes the engine here until an answer or a trial, and is told to nobody.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -217,18 +217,19 @@
             self.cold_until = self.cold_until.max(cold_until);
         }
         if self.listing.draining && !listing.draining {
-            self.leaving.hear(now);
+            self.leaving.infer(now);
         }
         self.listing = listing;
     }
 
-    /// Whether the engine leaves: its list entry says so, or it has said so itself.
+    /// Whether the engine leaves: its list entry says so, it has said so itself, or it may still do so
+    /// after a change of its entry.
     pub fn is_leaving(&self) -> bool {
-        self.listing.draining || self.leaving.said_at().is_some()
+        self.listing.draining || self.leaving.known_at().is_some()
     }
 
-    /// Whether the engine gets no request because it leaves. One that has only said so itself gets
-    /// one now and then.
+    /// Whether the engine gets no request because it leaves. One whose entry does not say so gets a
+    /// request every [`leaving::TRIAL_INTERVAL`].
     pub fn is_closed_by_leaving(&self, now: Instant) -> bool {
         self.is_leaving() && (self.listing.draining || !self.leaving.is_trial_due(now))
     }
--- a/crates/core/src/engine/leaving.rs
+++ b/crates/core/src/engine/leaving.rs
@@ -39,6 +39,9 @@
 pub struct Leaving {
     /// Time at which the engine last said that it leaves.
     said_at: Option<Instant>,
+    /// Time from which the list lets this host infer it. That is told to no other host, which may use
+    /// the next process already.
+    inferred_at: Option<Instant>,
     /// Time of the last request whose answer did not say so.
     denied_at: Option<Instant>,
     /// Time of the last request that was sent although the engine leaves.
@@ -75,27 +78,43 @@
         !is_known && self.set(said_at)
     }
 
+    /// Applies that the engine may be leaving, as far as its records in the list tell, since `at`.
+    pub fn infer(&mut self, at: Instant) {
+        self.inferred_at = self.inferred_at.max(Some(at));
+    }
+
     fn set(&mut self, said_at: Instant) -> bool {
-        let was_known = self.said_at().is_some();
+        let was_known = self.known_at().is_some();
         self.said_at = self.said_at.max(Some(said_at));
-        !was_known && self.said_at().is_some()
+        !was_known && self.known_at().is_some()
     }
 
-    /// Time at which the engine last said that it leaves; `None` if no answer since then repeats it.
+    /// Time at which the engine last said that it leaves; `None` once an answer does not say so.
     pub fn said_at(&self) -> Option<Instant> {
-        // An answer to an earlier request may be older than the engine's decision to leave.
-        self.said_at.filter(|at| self.denied_at < Some(*at))
+        self.said_at.filter(|at| !self.is_denied(*at))
+    }
+
+    /// The same, or the time from which this host infers it.
+    pub fn known_at(&self) -> Option<Instant> {
+        let known_at = self.said_at.max(self.inferred_at);
+        known_at.filter(|at| !self.is_denied(*at))
+    }
+
+    /// Whether the answer to a request after `at` did not say that the engine leaves. An answer to an
+    /// earlier one may be older than its decision.
+    fn is_denied(&self, at: Instant) -> bool {
+        self.denied_at >= Some(at)
     }
 
     /// Whether a request may be sent to learn whether the engine still says that it leaves.
     pub fn is_trial_due(&self, now: Instant) -> bool {
-        let last = self.said_at().max(self.tried_at);
+        let last = self.known_at().max(self.tried_at);
         last.is_some_and(|at| now.saturating_duration_since(at) >= TRIAL_INTERVAL)
     }
 
     /// Records that a request is sent.
     pub fn record_request(&mut self, now: Instant) {
-        if self.said_at().is_some() {
+        if self.known_at().is_some() {
             self.tried_at = Some(now);
         }
     }
--- a/crates/core/src/placement/list.rs
+++ b/crates/core/src/placement/list.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Former {
     since: Instant,
-    /// Time at which it last said that it was leaving, or was listed so.
+    /// Time at which it was last known to be leaving.
     left_at: Option<Instant>,
 }
 
@@ -97,7 +97,7 @@
         let since = listing.position;
         let mut engine = Engine::new(listing, now);
         if let Some(left_at) = former.and_then(|former| former.left_at) {
-            engine.leaving.hear(left_at);
+            engine.leaving.infer(left_at);
         }
         let entry = Entry {
             engine,
@@ -149,7 +149,7 @@
         let listed_at = listing.draining.then_some(now);
         let former = Former {
             since: now,
-            left_at: entry.engine.leaving.said_at().max(listed_at),
+            left_at: entry.engine.leaving.known_at().max(listed_at),
         };
         self.history.former.insert((id, listing.started_ms), former);
         self.map_address(listing.address);
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -136,8 +136,8 @@
     }
 }
 
-/// What the newest configuration says that any host has told of. Hosts that stood still tell of earlier
-/// ones.
+/// What the newest configuration says that any host has told of. A host that was paused tells of an
+/// earlier one.
 #[derive(Debug, Clone)]
 pub struct Newest<T>(Option<(Revision, T)>);
 
--- a/crates/core/tests/incarnation.rs
+++ b/crates/core/tests/incarnation.rs
@@ -385,3 +385,23 @@
     assert_eq!(earlier.crash(), later.crash());
     assert!(!fixture.table.is_replaced(&earlier));
 }
+
+// Guards against a host that was paused and closes an engine at hosts that use it already: it tells
+// them what it only infers from the records that it reads when it goes on.
+#[rstest]
+#[case::listed_as_ready(false)]
+#[case::removed_and_listed_again(true)]
+fn what_a_host_infers_from_records_is_not_told(#[case] removed: bool) {
+    let mut fixture = Fixture::new(&[]);
+    let draining = Listing {
+        draining: true,
+        ..record(Some(1), 1)
+    };
+    fixture.table.add_listing(draining, fixture.now);
+    if removed {
+        fixture.table.remove_listing("a", None, fixture.now);
+    }
+    fixture.table.add_listing(record(Some(1), 3), fixture.now);
+    assert!(send(&mut fixture).is_none(), "it may be the same process");
+    assert_eq!(fixture.table.announced_leaving().count(), 0);
+}
