News that an engine leaves keeps the record that was known when it said so

Callers could get 503 (no_engine) for up to 10 s at a host that had just joined and knew only the next process of an engine without a start of its own. Found on reading the diff; no user has reported it.

Cause: each host told the news with the newest position that it knew of the entry, and so moved news about an earlier process past the first record of the later one, where the check of positions let it pass. Ruled out: comparing starts, which these processes share or lack.

Change: `Leaving` keeps the position with the time, also when the news is passed on. A host that joins after the entry has changed may miss news about the same process; the engine's own answers tell it.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -252,7 +252,8 @@
         let sent_at = now.checked_sub(delay).unwrap_or(now);
         // What an agent last read of an engine that does not answer may be about an earlier process.
         if report.responsive {
-            self.leaving.apply_report(report.leaving, sent_at);
+            let position = self.listing.position;
+            self.leaving.apply_report(report.leaving, position, sent_at);
         }
         self.limit.apply_report(report.limit, sent_at);
         let free = self.capacity().saturating_sub(report.load.total());
--- a/crates/core/src/engine/leaving.rs
+++ b/crates/core/src/engine/leaving.rs
@@ -28,7 +28,8 @@
     pub engine: Engine,
     /// Start of its process.
     pub started: Started,
-    /// Position of the newest record about the process that the teller knows.
+    /// Position of the newest record about the process that was known to the host which the process
+    /// told. A process listed later is another one.
     pub position: Position,
     /// Time at which the process last said so.
     pub said_at: Instant,
@@ -37,8 +38,8 @@
 /// Leaving of one engine, as it and others say.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Leaving {
-    /// Time at which the engine last said that it leaves.
-    said_at: Option<Instant>,
+    /// Time at which the engine last said that it leaves, and the position of its record known then.
+    said: Option<(Instant, Position)>,
     /// Time from which the list lets this host infer it. That is told to no other host, which may use
     /// the next process already.
     inferred_at: Option<Instant>,
@@ -51,31 +52,40 @@
 }
 
 impl Leaving {
-    /// Applies an answer to a request that was sent at `sent_at`. Returns true if it is news that the
-    /// engine leaves.
-    pub fn apply_answer(&mut self, leaving: bool, sent_at: Instant, now: Instant) -> bool {
+    /// Applies an answer to a request that was sent at `sent_at`; `position` is that of the engine's
+    /// record. Returns true if it is news that the engine leaves.
+    pub fn apply_answer(
+        &mut self,
+        leaving: bool,
+        position: Position,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
         if leaving {
-            return self.set(now);
+            return self.set(now, position);
         }
         self.denied_at = self.denied_at.max(Some(sent_at));
         false
     }
 
-    /// Applies a report of the engine's agent that was sent at `sent_at`.
-    pub fn apply_report(&mut self, leaving: bool, sent_at: Instant) {
+    /// Applies a report of the engine's agent that was sent at `sent_at`; `position` is that of the
+    /// engine's record.
+    pub fn apply_report(&mut self, leaving: bool, position: Position, sent_at: Instant) {
         if leaving {
             self.is_reported = true;
-            self.set(sent_at);
+            self.set(sent_at, position);
         } else if self.is_reported {
             self.denied_at = self.denied_at.max(Some(sent_at));
         }
     }
 
-    /// Applies what another host tells: the engine said at `said_at` that it leaves. Returns true if
-    /// that is news.
-    pub fn hear(&mut self, said_at: Instant) -> bool {
-        let is_known = self.said_at().is_some_and(|at| said_at < at + NEWS_MARGIN);
-        !is_known && self.set(said_at)
+    /// Applies what another host tells: the engine said at `said_at`, listed at `position`, that it
+    /// leaves. Returns true if that is news.
+    pub fn hear(&mut self, said_at: Instant, position: Position) -> bool {
+        let is_known = self
+            .said()
+            .is_some_and(|(at, _)| said_at < at + NEWS_MARGIN);
+        !is_known && self.set(said_at, position)
     }
 
     /// Applies that the engine may be leaving, as far as its records in the list tell, since `at`.
@@ -83,20 +93,22 @@
         self.inferred_at = self.inferred_at.max(Some(at));
     }
 
-    fn set(&mut self, said_at: Instant) -> bool {
+    fn set(&mut self, said_at: Instant, position: Position) -> bool {
         let was_known = self.known_at().is_some();
-        self.said_at = self.said_at.max(Some(said_at));
+        self.said = self.said.max(Some((said_at, position)));
         !was_known && self.known_at().is_some()
     }
 
-    /// Time at which the engine last said that it leaves; `None` once an answer does not say so.
-    pub fn said_at(&self) -> Option<Instant> {
-        self.said_at.filter(|at| !self.is_denied(*at))
+    /// Time at which the engine last said that it leaves, and the position of its record known then;
+    /// `None` once an answer does not say so.
+    pub fn said(&self) -> Option<(Instant, Position)> {
+        self.said.filter(|(at, _)| !self.is_denied(*at))
     }
 
-    /// The same, or the time from which this host infers it.
+    /// The same time, or the one from which this host infers it.
     pub fn known_at(&self) -> Option<Instant> {
-        let known_at = self.said_at.max(self.inferred_at);
+        let said_at = self.said.map(|(at, _)| at);
+        let known_at = said_at.max(self.inferred_at);
         known_at.filter(|at| !self.is_denied(*at))
     }
 
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -153,28 +153,31 @@
         now: Instant,
     ) -> bool {
         let entry = self.reserved_entry(reservation);
-        entry.is_some_and(|entry| entry.engine.leaving.apply_answer(leaving, sent_at, now))
+        entry.is_some_and(|entry| {
+            let engine = &mut entry.engine;
+            let position = engine.listing.position;
+            engine.leaving.apply_answer(leaving, position, sent_at, now)
+        })
     }
 
-    /// Applies what another host tells; returns true if it is news that the engine leaves. Another
-    /// process under the same id is not concerned: the teller has not read of the one that is listed
-    /// here if it knows no record as late as the first one about that.
+    /// Applies what another host tells; returns true if it is news that the engine leaves. News from
+    /// before the first record of the process that is listed here is about an earlier one of its id.
     pub fn hear_leaving(&mut self, news: &leaving::News) -> bool {
         let entry = self.entries.get_mut(&news.engine).filter(|entry| {
             entry.engine.listing.started_ms == news.started && entry.since <= news.position
         });
-        entry.is_some_and(|entry| entry.engine.leaving.hear(news.said_at))
+        entry.is_some_and(|entry| entry.engine.leaving.hear(news.said_at, news.position))
     }
 
     /// Engines that say that they are leaving.
     pub fn announced_leaving(&self) -> impl Iterator<Item = leaving::News> {
         self.entries.iter().filter_map(|(id, entry)| {
-            let listing = &entry.engine.listing;
+            let (said_at, position) = entry.engine.leaving.said()?;
             Some(leaving::News {
                 engine: id.clone(),
-                started: listing.started_ms,
-                position: listing.position,
-                said_at: entry.engine.leaving.said_at()?,
+                started: entry.engine.listing.started_ms,
+                position,
+                said_at,
             })
         })
     }
--- a/crates/core/tests/incarnation.rs
+++ b/crates/core/tests/incarnation.rs
@@ -21,7 +21,7 @@
     },
 };
 
-/// News that a process said at `said_at` that it leaves; the teller has read the list up to `offset`.
+/// News that a process, whose record was at `offset`, said at `said_at` that it leaves.
 fn news(engine: &str, started: Started, offset: u64, said_at: Instant) -> News {
     News {
         engine: engine.into(),
@@ -405,3 +405,24 @@
     assert!(send(&mut fixture).is_none(), "it may be the same process");
     assert_eq!(fixture.table.announced_leaving().count(), 0);
 }
+
+// Guards against news that marks the next process because it seems to be about a later record than the
+// one that was known when the engine said so.
+#[test]
+fn news_keeps_the_record_that_was_known_when_the_engine_said_so() {
+    let mut hosts = [Fixture::new(&[]), Fixture::new(&[])];
+    for host in &mut hosts {
+        host.table.add_listing(record(None, 1), host.now);
+    }
+    let [told, tells] = &mut hosts;
+    assert!(exchange(told, true));
+    for news in told.table.announced_leaving() {
+        assert!(tells.table.hear_leaving(&news));
+    }
+    for host in &mut hosts {
+        host.table.add_listing(record(None, 7), host.now);
+        let told: Vec<News> = host.table.announced_leaving().collect();
+        assert_eq!(told.len(), 1);
+        assert_eq!(told[0].position, position(1));
+    }
+}
