A line tells when an engine that was known to leave is used again

Operators could not see why an engine got requests again after `engine_leaving`.

Cause: since an answer takes back that an engine leaves, and only its beginning had a line. Ruled out: a line for each trial, which would repeat every 10 s while an engine is leaving.

Change: `Table::apply_leaving` returns what an answer changes; `engine_not_leaving` is logged once.

Measured: answer_that_takes_leaving_back_is_a_change does not compile before (no such result) and passes; core's tests of incarnations, their model and placement pass.

--- a/crates/core/src/engine/leaving.rs
+++ b/crates/core/src/engine/leaving.rs
@@ -35,6 +35,15 @@
     pub said_at: Instant,
 }
 
+/// What an answer changes in whether the engine is known to leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// It leaves.
+    Began,
+    /// It does not leave, contrary to what was known.
+    Ended,
+}
+
 /// Leaving of one engine, as it and others say.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Leaving {
@@ -53,19 +62,20 @@
 
 impl Leaving {
     /// Applies an answer to a request that was sent at `sent_at`; `position` is that of the engine's
-    /// record. Returns true if it is news that the engine leaves.
+    /// record.
     pub fn apply_answer(
         &mut self,
         leaving: bool,
         position: Position,
         sent_at: Instant,
         now: Instant,
-    ) -> bool {
+    ) -> Option<Change> {
         if leaving {
-            return self.set(now, position);
+            return self.set(now, position).then_some(Change::Began);
         }
+        let was_known = self.known_at().is_some();
         self.denied_at = self.denied_at.max(Some(sent_at));
-        false
+        (was_known && self.known_at().is_none()).then_some(Change::Ended)
     }
 
     /// Applies a report of the engine's agent that was sent at `sent_at`; `position` is that of the
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -144,20 +144,18 @@
     }
 
     /// Applies whether an answer of the engine of a reservation says that it is leaving; the request
-    /// was sent at `sent_at`. Returns true if it is news that the engine leaves.
+    /// was sent at `sent_at`. Returns what that changes.
     pub fn apply_leaving(
         &mut self,
         reservation: &Reservation,
         leaving: bool,
         sent_at: Instant,
         now: Instant,
-    ) -> bool {
-        let entry = self.reserved_entry(reservation);
-        entry.is_some_and(|entry| {
-            let engine = &mut entry.engine;
-            let position = engine.listing.position;
-            engine.leaving.apply_answer(leaving, position, sent_at, now)
-        })
+    ) -> Option<leaving::Change> {
+        let engine = &mut self.reserved_entry(reservation)?.engine;
+        let position = engine.listing.position;
+        let state = &mut engine.leaving;
+        state.apply_answer(leaving, position, sent_at, now)
     }
 
     /// Applies what another host tells; returns true if it is news that the engine leaves. News from
--- a/crates/core/tests/incarnation.rs
+++ b/crates/core/tests/incarnation.rs
@@ -7,7 +7,7 @@
     jayspread_core::{
         engine::{
             Listing, Report,
-            leaving::{News, TRIAL_INTERVAL},
+            leaving::{Change, News, TRIAL_INTERVAL},
         },
         id::Started,
         mirror::Position,
@@ -426,3 +426,22 @@
         assert_eq!(told[0].position, position(1));
     }
 }
+
+// Guards against an engine that is used again without a line that says so.
+#[test]
+fn answer_that_takes_leaving_back_is_a_change() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.table.add_listing(record(None, 1), fixture.now);
+    let reservation = send(&mut fixture).expect("it is ready");
+    let start = fixture.now;
+    let mut apply = |leaving, ms| {
+        let at = start + Duration::from_millis(ms);
+        fixture.table.apply_leaving(&reservation, leaving, at, at)
+    };
+    assert_eq!(apply(false, 0), None);
+    assert_eq!(apply(true, 10), Some(Change::Began));
+    assert_eq!(apply(true, 20), None);
+    assert_eq!(apply(false, 5), None, "an earlier request");
+    assert_eq!(apply(false, 30), Some(Change::Ended));
+    assert_eq!(apply(false, 40), None);
+}
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -285,8 +285,8 @@
             .table
             .apply_leaving(&choice.reservation, true, now, now)
     };
-    assert!(say());
-    assert!(!say(), "known");
+    assert!(say().is_some());
+    assert!(say().is_none(), "known");
     assert!(fixture.choose().is_err());
     // Neither a stale entry of the list nor a report takes it back.
     fixture
--- a/crates/entry/src/front/upstream.rs
+++ b/crates/entry/src/front/upstream.rs
@@ -12,6 +12,7 @@
     jayspread_core::{
         answer::{Arrival, Owner},
         catalog::Kind,
+        engine::leaving,
         outlier::Outcome,
         placement::Reservation,
         quarantine::Finding,
@@ -130,17 +131,23 @@
         if let Some(load) = metadata.load {
             lock(&state.engines).observe_load(reservation, load, now);
         }
-        let leaves =
+        let change =
             lock(&state.engines).apply_leaving(reservation, metadata.leaving, self.sent_at, now);
-        if leaves {
-            state.metrics.leaving_engines.inc();
-            event!(
-                Info,
-                "engine_leaving",
-                engine = reservation.id,
-                source = "response"
-            );
-            state.heartbeat_due.notify_one();
+        match change {
+            Some(leaving::Change::Began) => {
+                state.metrics.leaving_engines.inc();
+                event!(
+                    Info,
+                    "engine_leaving",
+                    engine = reservation.id,
+                    source = "response"
+                );
+                state.heartbeat_due.notify_one();
+            }
+            Some(leaving::Change::Ended) => {
+                event!(Info, "engine_not_leaving", engine = reservation.id);
+            }
+            None => {}
         }
         let limited =
             lock(&state.engines).apply_limit(reservation, metadata.limit, self.sent_at, now);
